--- a/bronzewinchd/main.go
+++ b/bronzewinchd/main.go
@@ -15,6 +15,7 @@
 	"bronzewinch.dev/lib/node"
 	"bronzewinch.dev/lib/settings"
 	"bronzewinch.dev/lib/timer"
+	"bronzewinch.dev/platform"
 
 	"github.com/integrii/flaggy"
 	"k8s.io/klog/v2"
@@ -25,12 +26,19 @@
 
 func main() {
 	var path string
+	var onPlatform bool
 	flaggy.SetName("bronzewinchd")
 	flaggy.SetDescription("Runs an entry node. Example: bronzewinchd -settings /etc/bronzewinch/node.toml")
 	flaggy.SetVersion(version)
 	flaggy.String(&path, "s", "settings", "settings file (TOML); docs/configuration.md lists the settings")
+	flaggy.Bool(&onPlatform, "p", "platform", "run as a node of the cooperative platform; "+
+		platform.SettingsVariable+" names its settings file")
 	flaggy.Parse()
-	if err := run(path); err != nil {
+	start := func() error { return run(path) }
+	if onPlatform {
+		start = runPlatform
+	}
+	if err := start(); err != nil {
 		fmt.Fprintln(os.Stderr, "bronzewinchd:", err)
 		os.Exit(1)
 	}
--- /dev/null
+++ b/bronzewinchd/platform.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"context"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"bronzewinch.dev/lib/desk"
+	"bronzewinch.dev/lib/gate"
+	"bronzewinch.dev/lib/peer"
+	"bronzewinch.dev/lib/tenure"
+	"bronzewinch.dev/lib/timer"
+	"bronzewinch.dev/platform"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/dig"
+	"k8s.io/klog/v2"
+)
+
+// platformNode holds the parts of a node on the cooperative platform.
+type platformNode struct {
+	dig.In
+
+	Settings platform.Settings
+	Tenure   *tenure.Tenure
+	Gate     *gate.Gate
+	Server   *peer.Server
+	Pool     *peer.Pool
+	Workers  *platform.Workers
+}
+
+// runPlatform runs a node on the cooperative platform until it is told to
+// stop.
+func runPlatform() error {
+	settings, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	container := dig.New()
+	for _, f := range []any{
+		func() platform.Settings { return settings },
+		func() timer.Service { return timer.NewSystem() },
+		metrics.NewSet,
+		func(s platform.Settings, set *metrics.Set) *platform.Store { return platform.NewStore(s.Store, set) },
+		platform.NewWorkers,
+		func() *peer.Pool { return peer.NewPool(peer.PoolConfig{}) },
+		func() *peer.Server { return peer.NewServer(peer.ServerConfig{}) },
+		newDesk, newTenure, newGate,
+	} {
+		if err := container.Provide(f); err != nil {
+			return err
+		}
+	}
+	err = container.Invoke(func(n platformNode) error { return n.run(ctx) })
+	return dig.RootCause(err)
+}
+
+func newDesk(s platform.Settings, store *platform.Store, workers *platform.Workers, clock timer.Service,
+	set *metrics.Set) *desk.Desk {
+	return desk.New(desk.Config{Node: s.Node, Store: store, Lists: platform.Lists{Store: store}, Workers: workers,
+		Roster: s.Roster, Timer: clock, Metrics: set})
+}
+
+func newTenure(s platform.Settings, store *platform.Store, d *desk.Desk, clock timer.Service) *tenure.Tenure {
+	return tenure.New(tenure.Config{Node: s.Node, Address: s.Peers, Store: store, Holder: d, Timer: clock})
+}
+
+func newGate(s platform.Settings, t *tenure.Tenure, d *desk.Desk, pool *peer.Pool, server *peer.Server,
+	clock timer.Service) *gate.Gate {
+	return gate.New(gate.Config{Node: s.Node, Address: s.Peers, Seeds: s.Seeds, Owners: t, Desk: d, Pool: pool,
+		Server: server, Timer: clock})
+}
+
+// lingerTime is how long a stopping node still serves, so that the platform
+// has noticed that it is not ready any more.
+const lingerTime = 2500 * time.Millisecond
+
+func (n platformNode) run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", n.Settings.Peers)
+	if err != nil {
+		return errors.Wrap(err, "listen for other nodes")
+	}
+	n.Server.Serve(listener)
+	front, err := platform.NewFront(n.Settings, n.Gate)
+	if err != nil {
+		return errors.Wrap(err, "listen for clients")
+	}
+	klog.InfoS("node started", "event", "start", "node", n.Settings.Node, "zone", n.Settings.Zone, "version", version)
+	<-ctx.Done()
+	klog.InfoS("node stops", "event", "stop", "node", n.Settings.Node)
+	n.Gate.Leave()
+	n.Tenure.Close()
+	ending, cancel := context.WithTimeout(context.Background(), n.Settings.Grace-time.Second)
+	defer cancel()
+	_ = timer.Sleep(ending, timer.NewSystem(), lingerTime)
+	front.Close(ending)
+	n.Gate.Close()
+	n.Server.Close(ending)
+	n.Pool.Close()
+	n.Workers.Close()
+	return nil
+}
--- /dev/null
+++ b/lib/desk/cycle.go
@@ -0,0 +1,343 @@
+package desk
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"bronzewinch.dev/lib/codec"
+	"bronzewinch.dev/lib/id"
+	"bronzewinch.dev/lib/kv"
+	"bronzewinch.dev/lib/problem"
+	"bronzewinch.dev/lib/roster"
+	"bronzewinch.dev/lib/task"
+	"bronzewinch.dev/lib/tenure"
+	"bronzewinch.dev/lib/timer"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+	"k8s.io/klog/v2"
+)
+
+// Prefixes of the stored records.
+const (
+	jobPrefix      = "bronzewinch/job/"
+	progressPrefix = "bronzewinch/progress/"
+)
+
+// batchLimit bounds the events of one cycle.
+const batchLimit = 1000
+
+// event is something that the roster has to know.
+type event interface {
+	apply(s *session, now time.Time, b *batch)
+}
+
+// batch collects what one cycle has to do after its changes are stored.
+type batch struct {
+	replies []func()
+	heard   []*link
+}
+
+type tickEvent struct{}
+
+func (tickEvent) apply(s *session, now time.Time, _ *batch) { s.roster.Tick(now) }
+
+type callEvent struct {
+	call
+	reply chan Reply
+}
+
+func (e *callEvent) apply(s *session, now time.Time, b *batch) {
+	var reply Reply
+	if e.Verb == Submit {
+		reply = s.submit(now, e.call)
+	} else {
+		reply = s.cancel(now, e.call)
+	}
+	b.replies = append(b.replies, func() { e.reply <- reply })
+}
+
+func (s *session) submit(now time.Time, c call) Reply {
+	t := *c.Job
+	t.ID, t.Queue, t.Account = c.job, c.route.Name, c.account
+	err := s.roster.Submit(now, t)
+	switch problem.KindOf(err) {
+	case "":
+		return Reply{Outcome: OK}
+	case problem.NotFound:
+		return Reply{Outcome: NoQueue, Detail: err.Error()}
+	}
+	return Reply{Outcome: Malformed, Detail: err.Error()}
+}
+
+func (s *session) cancel(now time.Time, c call) Reply {
+	if status, ok := s.roster.Status(c.job); !ok || status.Queue != c.route.Name {
+		return Reply{Outcome: NoJob, Detail: "check the id; no job of this queue has it"}
+	}
+	if err := s.roster.Cancel(now, c.job); err != nil {
+		return Reply{Outcome: NoJob, Detail: err.Error()}
+	}
+	return Reply{Outcome: OK}
+}
+
+// run is the cycle. It returns when ctx ends or another node has taken over.
+func (s *session) run(ctx context.Context) error {
+	for {
+		events, ok := s.events.TakeAll(ctx, batchLimit)
+		if !ok {
+			return context.Cause(ctx)
+		}
+		now := s.desk.config.Timer.Now()
+		b := &batch{}
+		for _, e := range events {
+			e.apply(s, now, b)
+		}
+		s.roster.Plan(now)
+		changes := s.roster.Take()
+		if err := s.store(ctx, changes); err != nil {
+			s.term.End(err)
+			return err
+		}
+		s.release(changes, b)
+		if len(changes.Jobs)+len(changes.Progress) > 0 {
+			if timer.Sleep(ctx, s.desk.config.Timer, cyclePause) != nil {
+				return context.Cause(ctx)
+			}
+		}
+	}
+}
+
+// store writes the changes of a cycle, in as many transactions as they need.
+func (s *session) store(ctx context.Context, c roster.Changes) error {
+	var writes []kv.Write
+	var removals []string
+	for _, j := range c.Jobs {
+		value, err := codec.CBOR.Marshal(j)
+		if err != nil {
+			return errors.Wrapf(err, "job %s", j.ID)
+		}
+		writes = append(writes, kv.Write{Key: jobPrefix + string(j.ID), Value: value})
+	}
+	for _, p := range c.Progress {
+		value, err := codec.CBOR.Marshal(p)
+		if err != nil {
+			return errors.Wrapf(err, "progress of job %s", p.Job)
+		}
+		writes = append(writes, kv.Write{Key: progressPrefix + string(p.Job), Value: value})
+	}
+	for _, name := range c.Removed {
+		removals = append(removals, jobPrefix+string(name), progressPrefix+string(name))
+	}
+	// One condition and one write of each transaction are the commit key's.
+	const most = kv.MaxTxn - 2
+	for len(writes)+len(removals) > 0 {
+		w := min(len(writes), most)
+		r := min(len(removals), most-w)
+		if err := s.commitOne(ctx, writes[:w], removals[:r]); err != nil {
+			return err
+		}
+		writes, removals = writes[w:], removals[r:]
+	}
+	return nil
+}
+
+const (
+	commitTimeout = 1200 * time.Millisecond
+	commitRetry   = 60 * time.Millisecond
+)
+
+// commitOne writes one transaction, and repeats it until its fate is known.
+// The commit key holds the number of the last transaction of the term, so a
+// lost answer is told from a lost call, and a transaction that is carried out
+// late fails.
+func (s *session) commitOne(ctx context.Context, writes []kv.Write, removals []string) error {
+	s.number++
+	mark := tenure.Mark{Fence: s.term.Fence, Number: s.number}
+	value, err := mark.Encode()
+	if err != nil {
+		return err
+	}
+	txn := kv.Txn{
+		Expect: []kv.Expect{{Key: tenure.CommitKey, Version: s.commit}},
+		Writes: append([]kv.Write{{Key: tenure.CommitKey, Value: value}}, writes...),
+		Remove: removals,
+	}
+	begun := s.desk.config.Timer.Now()
+	defer s.stalled.Store(false)
+	for {
+		call, cancel := context.WithTimeout(ctx, commitTimeout)
+		stall := s.desk.config.Timer.After(stallTime)
+		s.wg.Go(func() {
+			defer stall.Stop()
+			select {
+			case <-stall.C:
+				s.stalled.Store(true)
+			case <-call.Done():
+			}
+		})
+		result, err := s.desk.config.Store.Commit(call, txn)
+		cancel()
+		switch {
+		case err == nil && result.Committed:
+			s.commit = result.Version
+			return nil
+		case err == nil:
+			return s.resolve(result, mark)
+		case ctx.Err() != nil:
+			return context.Cause(ctx)
+		case problem.Is(err, problem.Invalid):
+			return err
+		}
+		s.stalled.Store(s.desk.config.Timer.Now().Sub(begun) > stallTime)
+		klog.InfoS("transaction not confirmed; it is repeated", "event", "commit", "fence", mark.Fence, "number", mark.Number,
+			"cause", err)
+		if err := timer.Sleep(ctx, s.desk.config.Timer, timer.Jitter(commitRetry)); err != nil {
+			return context.Cause(ctx)
+		}
+	}
+}
+
+// resolve tells from the present commit key whether an earlier attempt took
+// effect or another node has taken over.
+func (s *session) resolve(result kv.TxnResult, mark tenure.Mark) error {
+	i := slices.IndexFunc(result.Present, func(item kv.Item) bool { return item.Key == tenure.CommitKey })
+	if i >= 0 {
+		present, err := tenure.DecodeMark(result.Present[i].Value)
+		if err == nil && present == mark {
+			s.commit = result.Present[i].Version
+			return nil
+		}
+	}
+	return problem.New(problem.Fenced, problem.Detail{
+		Field: "commit key", Remedy: "follow the new owner; another node has taken over"})
+}
+
+// release answers callers, publishes states and sends orders, after the
+// changes of a cycle are stored.
+func (s *session) release(c roster.Changes, b *batch) {
+	s.publish(c)
+	for _, reply := range b.replies {
+		reply()
+	}
+	for _, l := range b.heard {
+		l.release(s.roster.Busy(l.name))
+	}
+	for _, o := range c.Orders {
+		if l, ok := s.links.Get(o.Worker); ok {
+			l.send(o)
+		}
+	}
+	for _, n := range c.Notes {
+		klog.InfoS(n.Event, "event", "decision", "job", n.Job, "task", n.Task.String(), "run", n.Run, "worker", n.Worker,
+			"reason", n.Reason, "ageMs", n.Age.Milliseconds(), "config", s.directory.Load().config.Number,
+			"fence", s.term.Fence)
+	}
+}
+
+func (s *session) publish(c roster.Changes) {
+	for _, j := range c.Jobs {
+		s.publishJob(j.ID)
+	}
+	for _, p := range c.Progress {
+		s.publishJob(p.Job)
+	}
+	for _, name := range c.Removed {
+		s.jobs.Delete(name)
+	}
+	for _, n := range c.Notes {
+		if n.Job != "" {
+			s.publishJob(n.Job)
+		}
+	}
+	for _, r := range s.directory.Load().config.Routes {
+		s.queues.Set(r.Name, s.roster.Waiting(r.Name))
+	}
+}
+
+func (s *session) publishJob(name id.Job) {
+	if status, ok := s.roster.Status(name); ok {
+		s.jobs.Set(name, status)
+	}
+}
+
+// load reads the configuration, the stored jobs and the list of workers.
+func (s *session) load(ctx context.Context) error {
+	begun := s.desk.config.Timer.Now()
+	config, err := s.awaitConfig(ctx)
+	if err != nil {
+		return errors.Wrap(err, "read the configuration")
+	}
+	s.configure(config, timer.Boot()-configWait)
+	workers, err := s.desk.config.Lists.ReadWorkers(ctx)
+	if err != nil {
+		return errors.Wrap(err, "read the list of workers")
+	}
+	jobs, err := readAll[task.Job](ctx, s.desk.config.Store, jobPrefix)
+	if err != nil {
+		return err
+	}
+	progress, err := readAll[task.Progress](ctx, s.desk.config.Store, progressPrefix)
+	if err != nil {
+		return err
+	}
+	now := s.desk.config.Timer.Now()
+	lapse := s.desk.config.Roster.Lapse(now.Add(tenure.GraceTime))
+	byJob := make(map[id.Job]task.Progress, len(progress))
+	for _, p := range progress {
+		byJob[p.Job] = p
+	}
+	for _, j := range jobs {
+		s.roster.Restore(now, lapse, j, byJob[j.ID])
+	}
+	s.roster.Resume(now)
+	for _, j := range jobs {
+		s.publishJob(j.ID)
+	}
+	s.list(ctx, now, workers)
+	s.wg.Go(func() { s.followConfig(ctx, config.Version) })
+	s.wg.Go(func() { s.followWorkers(ctx, workers.Version) })
+	klog.InfoS("state loaded", "event", "load", "fence", s.term.Fence, "jobs", len(jobs), "workers", len(workers.Workers),
+		"config", s.directory.Load().config.Number, "tookMs", s.desk.config.Timer.Now().Sub(begun).Milliseconds())
+	return nil
+}
+
+// awaitConfig reads the configuration. A new deployment has none at first.
+func (s *session) awaitConfig(ctx context.Context) (Update, error) {
+	for {
+		u, err := s.desk.config.Lists.ReadConfig(ctx)
+		if !problem.Is(err, problem.NotFound) {
+			return u, err
+		}
+		if err := timer.Sleep(ctx, s.desk.config.Timer, 2*listRetry); err != nil {
+			return u, context.Cause(ctx)
+		}
+	}
+}
+
+const pageLimit = 500
+
+// readAll reads all records under a prefix. Records that can't be decoded are
+// left out with a log line.
+func readAll[T any](ctx context.Context, store Store, prefix string) ([]T, error) {
+	var all []T
+	after := ""
+	for {
+		items, err := store.List(ctx, prefix, after, pageLimit)
+		if err != nil {
+			return nil, errors.Wrapf(err, "read %s", prefix)
+		}
+		if len(items) == 0 {
+			return all, nil
+		}
+		for _, item := range items {
+			after = item.Key
+			var v T
+			if err := cbor.Unmarshal(item.Value, &v); err != nil {
+				klog.ErrorS(err, "a stored record can't be read and is left out", "event", "load", "key", item.Key)
+				continue
+			}
+			all = append(all, v)
+		}
+	}
+}
--- /dev/null
+++ b/lib/desk/desk.go
@@ -0,0 +1,245 @@
+package desk
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bronzewinch.dev/lib/id"
+	"bronzewinch.dev/lib/kv"
+	"bronzewinch.dev/lib/pipe"
+	"bronzewinch.dev/lib/problem"
+	"bronzewinch.dev/lib/roster"
+	"bronzewinch.dev/lib/shard"
+	"bronzewinch.dev/lib/task"
+	"bronzewinch.dev/lib/tenure"
+	"bronzewinch.dev/lib/timer"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// eventLimit bounds the events that wait for a cycle. A cycle takes some
+	// milliseconds, so a full queue means that the owner is far behind.
+	eventLimit = 10000
+	// cyclePause gathers events that come together, such as the ends of a
+	// gang, into one transaction.
+	cyclePause = 10 * time.Millisecond
+	tickPeriod = 100 * time.Millisecond
+	// stallTime is how long a transaction may take before further jobs are
+	// refused at once.
+	stallTime = 400 * time.Millisecond
+	// freshTime bounds the age of the configuration by which calls are decided.
+	freshTime = 1500 * time.Millisecond
+	// configWait is how long a watch of the configuration waits. Each answer
+	// proves that the configuration in force is the newest.
+	configWait = 700 * time.Millisecond
+	// workersWait is short, as a watch that began while the store dropped its
+	// history hears nothing until its wait ends. A worker that leaves must get
+	// no starts two seconds after the store knows it.
+	workersWait = time.Second
+	// retryAfter is the time in which a new owner usually is at work.
+	retryAfter = time.Second
+	// isolationTime is how long an owner goes on without hearing of any other
+	// node when there were some. A node that is cut off from the others must
+	// not keep the scheduler from them.
+	isolationTime = 2 * time.Second
+)
+
+// Store is the part of the key-value service that the desk needs.
+type Store interface {
+	List(ctx context.Context, prefix, after string, limit int) ([]kv.Item, error)
+	Commit(ctx context.Context, txn kv.Txn) (kv.TxnResult, error)
+}
+
+// Lists reads the configuration and the list of workers.
+type Lists interface {
+	// ReadConfig and ReadWorkers return all that is there.
+	ReadConfig(ctx context.Context) (Update, error)
+	ReadWorkers(ctx context.Context) (Update, error)
+	// NextConfig and NextWorkers wait for changes after a version. They return
+	// an Expired problem when the changes are no longer known.
+	NextConfig(ctx context.Context, after kv.Version, wait time.Duration) (Update, error)
+	NextWorkers(ctx context.Context, after kv.Version, wait time.Duration) (Update, error)
+}
+
+// Config configures a Desk.
+type Config struct {
+	Node    id.Node
+	Store   Store
+	Lists   Lists
+	Workers Workers
+	Roster  roster.Config
+	Timer   timer.Service
+	Metrics *metrics.Set
+}
+
+// Desk is the runtime. It serves calls while this node owns the scheduler.
+type Desk struct {
+	config Config
+	stages pipe.Filter[call, call]
+
+	session atomic.Pointer[session]
+
+	mu    sync.Mutex
+	heard map[id.Node]time.Time // when other nodes last called
+}
+
+var _ tenure.Holder = (*Desk)(nil)
+
+// New returns a desk that does not serve yet.
+func New(c Config) *Desk {
+	d := &Desk{config: c, heard: make(map[id.Node]time.Time)}
+	d.stages = pipe.Then(
+		pipe.Then(pipe.Named(c.Metrics, "route", pipe.Func[call, call](d.findRoute)),
+			pipe.Named(c.Metrics, "authenticate", pipe.Func[call, call](d.authenticate))),
+		pipe.Named(c.Metrics, "check", pipe.Func[call, call](d.checkJob)))
+	return d
+}
+
+// Hello notes that another node is in touch. It returns whether calls are
+// served.
+func (d *Desk) Hello(from id.Node) bool {
+	if from != "" && from != d.config.Node {
+		d.mu.Lock()
+		d.heard[from] = d.config.Timer.Now()
+		d.mu.Unlock()
+	}
+	s := d.session.Load()
+	return s != nil && s.fresh()
+}
+
+// alone reports whether other nodes were in touch and none is any more.
+func (d *Desk) alone(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name, at := range d.heard {
+		if now.Sub(at) < isolationTime {
+			return false
+		}
+		if now.Sub(at) > tenure.GraceTime {
+			delete(d.heard, name)
+		}
+	}
+	return len(d.heard) > 0
+}
+
+// Handle decides on a call. It answers Refused when this node does not own
+// the scheduler.
+func (d *Desk) Handle(ctx context.Context, req Request) Reply {
+	refused := Reply{Outcome: Refused, Detail: "no owner serves at present; try again", RetryAfter: retryAfter}
+	s := d.session.Load()
+	if s == nil || !s.fresh() {
+		return refused
+	}
+	c, err := d.stages.Process(ctx, call{Request: req, dir: s.directory.Load()})
+	var end ended
+	if errors.As(err, &end) {
+		return end.reply
+	}
+	switch {
+	case req.Verb == Look && c.job == "":
+		return Reply{Outcome: OK, IsQueue: true, Waiting: s.waiting(c.route.Name)}
+	case req.Verb == Look:
+		return s.look(c)
+	}
+	if s.stalled.Load() {
+		return refused
+	}
+	e := &callEvent{call: c, reply: make(chan Reply, 1)}
+	if err := s.events.Put(e); err != nil {
+		return refused
+	}
+	select {
+	case r := <-e.reply:
+		return r
+	case <-ctx.Done():
+	case <-s.over:
+		// The cycle that held the call may have been stored.
+		select {
+		case r := <-e.reply:
+			return r
+		default:
+		}
+	}
+	return Reply{Outcome: Unknown, Detail: "send the call again with the same id; it may have been carried out"}
+}
+
+// session is one time of ownership.
+type session struct {
+	desk      *Desk
+	term      *tenure.Term
+	roster    *roster.Roster // used by the cycle's goroutine alone
+	events    *pipe.Queue[event]
+	directory atomic.Pointer[directory]
+	confirmed atomic.Int64 // timer.Boot when the directory was last known to be the newest
+	stalled   atomic.Bool
+	jobs      *shard.Map[id.Job, roster.Status]
+	queues    *shard.Map[task.QueueName, int]
+	links     *shard.Map[id.Worker, *link]
+	commit    kv.Version
+	number    uint64
+	over      chan struct{}
+	wg        sync.WaitGroup
+}
+
+// fresh reports whether calls may be decided.
+func (s *session) fresh() bool {
+	return s.term.Valid() && timer.Boot()-time.Duration(s.confirmed.Load()) < freshTime
+}
+
+func (s *session) waiting(queue task.QueueName) int {
+	n, _ := s.queues.Get(queue)
+	return n
+}
+
+func (s *session) look(c call) Reply {
+	status, ok := s.jobs.Get(c.job)
+	if !ok || status.Queue != c.route.Name {
+		return Reply{Outcome: NoJob, Detail: "check the id; no job of this queue has it"}
+	}
+	return Reply{Outcome: OK, State: status.State}
+}
+
+// Serve loads what earlier owners stored and works as the owner until ctx
+// ends.
+func (d *Desk) Serve(ctx context.Context, term *tenure.Term) error {
+	s := &session{
+		desk: d, term: term, roster: roster.New(d.config.Roster), events: pipe.NewQueue[event](eventLimit),
+		jobs: shard.NewMap[id.Job, roster.Status](), queues: shard.NewMap[task.QueueName, int](),
+		links: shard.NewMap[id.Worker, *link](), commit: term.Commit, over: make(chan struct{}),
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer s.wg.Wait()
+	defer cancel()
+	defer close(s.over)
+	if err := s.load(ctx); err != nil {
+		term.End(err)
+		return err
+	}
+	s.wg.Go(func() { s.tick(ctx) })
+	d.session.Store(s)
+	defer d.session.Store(nil)
+	return s.run(ctx)
+}
+
+// tick brings time into the cycle.
+func (s *session) tick(ctx context.Context) {
+	ticks := s.desk.config.Timer.Every(tickPeriod)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			s.events.Close()
+			return
+		case now := <-ticks.C:
+			if s.desk.alone(now) {
+				s.term.End(problem.New(problem.Unavailable, problem.Detail{
+					Field: "other nodes", Remedy: "let a node that reaches the others become the owner"}))
+			}
+			_ = s.events.Put(tickEvent{}) // a full queue has events to wake the cycle
+		}
+	}
+}
--- /dev/null
+++ b/lib/desk/link.go
@@ -0,0 +1,307 @@
+package desk
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"bronzewinch.dev/lib/id"
+	"bronzewinch.dev/lib/pipe"
+	"bronzewinch.dev/lib/roster"
+	"bronzewinch.dev/lib/task"
+	"bronzewinch.dev/lib/timer"
+
+	"k8s.io/klog/v2"
+)
+
+const (
+	// holdWait is the longest time for which a worker holds a call back until
+	// one of its runs ends.
+	holdWait = 2 * time.Second
+	// holdTimeout is the time beyond the wait after which a call counts as
+	// unanswered. A worker answers within milliseconds.
+	holdTimeout = 700 * time.Millisecond
+	// orderTimeout and orderAttempts bound one order. Orders may be repeated,
+	// as a worker carries out each run once.
+	orderTimeout  = 400 * time.Millisecond
+	orderAttempts = 3
+	// ackPause lets the acknowledgement of the last ends on a worker wait for
+	// its next start.
+	ackPause = time.Second
+	// probePause is the pause between calls to a worker that does not answer.
+	probePause = 400 * time.Millisecond
+	orderLimit = 4096
+)
+
+// Target is one incarnation of a worker.
+type Target struct {
+	Worker      id.Worker
+	Address     string
+	Incarnation task.Incarnation
+}
+
+// Hold asks a worker for its runs, and extends their lease.
+type Hold struct {
+	Fence task.Fence
+	// Until extends the lease of all runs to a time on the worker's clock,
+	// unless it is zero.
+	Until task.ClockMillis
+	// Acked is the last end that is stored.
+	Acked task.EndSeq
+	Wait  time.Duration
+}
+
+// Workers calls workers.
+type Workers interface {
+	Hold(ctx context.Context, t Target, h Hold) (task.Report, error)
+	// Order sends an order with a lease until a time on the worker's clock.
+	Order(ctx context.Context, t Target, o roster.Order, fence task.Fence, until task.ClockMillis) (roster.Answer, error)
+}
+
+// link carries orders to one worker and its reports back. It is one shard of
+// the state of workers, under its own lock.
+type link struct {
+	session *session
+	name    id.Worker
+	orders  *pipe.Queue[roster.Order]
+	wake    chan struct{}
+
+	mu       sync.Mutex
+	target   Target
+	clock    task.ClockMillis // the worker's clock at clockAt, at least
+	clockAt  time.Time
+	trusted  bool // the last call was answered
+	busy     bool
+	acked    task.EndSeq // stored by a cycle
+	told     task.EndSeq // acknowledged to the worker
+	reported task.EndSeq // highest end in the last report
+}
+
+func newLink(ctx context.Context, s *session, w task.Worker) *link {
+	l := &link{session: s, name: w.ID, orders: pipe.NewQueue[roster.Order](orderLimit), wake: make(chan struct{}, 1)}
+	l.target = Target{Worker: w.ID, Address: w.Address, Incarnation: w.Incarnation}
+	s.wg.Go(func() { l.poll(ctx) })
+	s.wg.Go(func() {
+		for {
+			orders, ok := l.orders.TakeAll(ctx, 1)
+			if !ok {
+				return
+			}
+			l.carryOut(ctx, orders[0])
+		}
+	})
+	return l
+}
+
+// moved takes over the present incarnation and address of the worker.
+func (l *link) moved(w task.Worker) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if w.Incarnation < l.target.Incarnation {
+		return
+	}
+	if w.Incarnation != l.target.Incarnation {
+		l.reset()
+	}
+	l.target = Target{Worker: w.ID, Address: w.Address, Incarnation: w.Incarnation}
+	l.signal()
+}
+
+// reset forgets what an earlier incarnation told. The lock is held.
+func (l *link) reset() {
+	l.clock, l.clockAt, l.trusted = 0, time.Time{}, false
+	l.acked, l.told, l.reported = 0, 0, 0
+}
+
+func (l *link) signal() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// send queues an order. Orders reach the worker in turn.
+func (l *link) send(o roster.Order) {
+	if err := l.orders.Put(o); err != nil {
+		klog.InfoS("order dropped", "event", "order", "worker", l.name, "task", o.Task.String(), "cause", err)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.busy = true
+	l.signal()
+}
+
+// release lets the link go on after the cycle that took its last report.
+func (l *link) release(busy bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.acked, l.busy = l.reported, busy
+	l.signal()
+}
+
+// until is the worker's clock in HoldMax from now, or zero when its clock is
+// not known.
+func (l *link) until(now time.Time) task.ClockMillis {
+	if l.clockAt.IsZero() || !l.session.term.MayExtend() {
+		return 0
+	}
+	return l.clock + task.ClockMillis(now.Sub(l.clockAt).Milliseconds()) +
+		task.ClockMillis(l.session.desk.config.Roster.HoldMax.Milliseconds())
+}
+
+// poll asks for reports as long as the worker is busy or has ends that are
+// not acknowledged.
+func (l *link) poll(ctx context.Context) {
+	first := true
+	for ctx.Err() == nil {
+		l.mu.Lock()
+		pending, busy := l.acked > l.told, l.busy || first
+		l.mu.Unlock()
+		if !busy && pending {
+			l.pause(ctx, ackPause)
+			l.mu.Lock()
+			busy = l.busy
+			l.mu.Unlock()
+		}
+		if !busy && !pending {
+			select {
+			case <-l.wake:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		if l.ask(ctx, first || !busy) {
+			first = false
+			l.pause(ctx, holdWait) // until the cycle has stored the report
+			continue
+		}
+		_ = timer.Sleep(ctx, l.session.desk.config.Timer, probePause)
+	}
+}
+
+// pause waits for a signal, for d at most.
+func (l *link) pause(ctx context.Context, d time.Duration) {
+	after := l.session.desk.config.Timer.After(d)
+	defer after.Stop()
+	select {
+	case <-l.wake:
+	case <-after.C:
+	case <-ctx.Done():
+	}
+}
+
+// ask makes one call for a report. Its answer comes at once if quick is true.
+func (l *link) ask(ctx context.Context, quick bool) bool {
+	clock := l.session.desk.config.Timer
+	now := clock.Now()
+	l.mu.Lock()
+	target := l.target
+	h := Hold{Fence: l.session.term.Fence, Acked: l.acked, Wait: holdWait}
+	if l.trusted {
+		h.Until = l.until(now)
+	}
+	if quick || !l.trusted || l.acked < l.reported {
+		h.Wait = 0
+	}
+	l.mu.Unlock()
+	call, cancel := context.WithTimeout(ctx, h.Wait+holdTimeout)
+	defer cancel()
+	report, err := l.session.desk.config.Workers.Hold(call, target, h)
+	if err != nil {
+		l.failed(ctx, target, h, now, err)
+		return false
+	}
+	l.mu.Lock()
+	if report.Incarnation != l.target.Incarnation {
+		l.reset()
+		l.target.Incarnation = report.Incarnation
+	}
+	l.clock, l.clockAt, l.told = report.Clock, clock.Now(), h.Acked
+	l.trusted = true
+	if n := len(report.Ends); n > 0 {
+		l.reported = max(l.reported, report.Ends[n-1].Seq)
+	}
+	l.mu.Unlock()
+	if err := l.session.events.Put(&reportEvent{link: l, sent: now, granted: h.Until > 0, report: report}); err != nil && ctx.Err() == nil {
+		klog.InfoS("report dropped; the next one repeats it", "event", "report", "worker", l.name, "cause", err)
+	}
+	return true
+}
+
+// failed notes an unanswered call. The call may still extend the lease, so
+// later calls to the worker grant nothing until one is answered.
+func (l *link) failed(ctx context.Context, target Target, h Hold, sent time.Time, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	l.mu.Lock()
+	was := l.trusted
+	l.trusted = false
+	l.mu.Unlock()
+	if was {
+		klog.InfoS("worker does not answer", "event", "worker", "worker", target.Worker, "incarnation", target.Incarnation, "cause", err)
+	}
+	if h.Until > 0 {
+		_ = l.session.events.Put(&silentEvent{worker: l.name, sent: sent})
+	}
+}
+
+type silentEvent struct {
+	worker id.Worker
+	sent   time.Time
+}
+
+func (e *silentEvent) apply(s *session, _ time.Time, _ *batch) { s.roster.Granted(e.worker, e.sent) }
+
+type reportEvent struct {
+	link    *link
+	sent    time.Time
+	granted bool
+	report  task.Report
+}
+
+func (e *reportEvent) apply(s *session, now time.Time, b *batch) {
+	s.roster.Heard(now, e.sent, e.granted, e.report)
+	b.heard = append(b.heard, e.link)
+}
+
+type answerEvent struct {
+	order  roster.Order
+	answer roster.Answer
+}
+
+func (e *answerEvent) apply(s *session, now time.Time, _ *batch) {
+	s.roster.Answered(now, e.order, e.answer)
+}
+
+// carryOut sends one order, and sends it again if no answer comes.
+func (l *link) carryOut(ctx context.Context, o roster.Order) {
+	answer := roster.NotSent
+	for attempt := range orderAttempts {
+		now := l.session.desk.config.Timer.Now()
+		l.mu.Lock()
+		target, until := l.target, l.until(now)
+		l.mu.Unlock()
+		if !l.session.term.Valid() || now.After(o.OrderTime()) || target.Incarnation != o.Incarnation || until == 0 {
+			break
+		}
+		call, cancel := context.WithTimeout(ctx, orderTimeout)
+		a, err := l.session.desk.config.Workers.Order(call, target, o, l.session.term.Fence, until)
+		cancel()
+		if err == nil {
+			answer = a
+			break
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		answer = roster.Unanswered
+		klog.InfoS("order not answered", "event", "order", "kind", o.Kind, "task", o.Task.String(), "run", o.Run,
+			"worker", o.Worker, "attempt", attempt+1, "cause", err)
+	}
+	if answer != roster.Accepted {
+		klog.InfoS("order not accepted", "event", "order", "kind", o.Kind, "task", o.Task.String(), "run", o.Run,
+			"worker", o.Worker, "answer", answer)
+	}
+	_ = l.session.events.Put(&answerEvent{order: o, answer: answer}) // refused only when the session is over or far behind
+}
--- /dev/null
+++ b/lib/desk/lists.go
@@ -0,0 +1,158 @@
+package desk
+
+import (
+	"context"
+	"time"
+
+	"bronzewinch.dev/lib/id"
+	"bronzewinch.dev/lib/kv"
+	"bronzewinch.dev/lib/problem"
+	"bronzewinch.dev/lib/roster"
+	"bronzewinch.dev/lib/task"
+	"bronzewinch.dev/lib/timer"
+	"bronzewinch.dev/lib/unit"
+
+	"k8s.io/klog/v2"
+)
+
+// listRetry is the pause after a failed read of a list.
+const listRetry = 100 * time.Millisecond
+
+// configure puts a configuration into force for calls that come from now on.
+// It was read by a call that was sent at read.
+func (s *session) configure(u Update, read time.Duration) {
+	old := s.directory.Load()
+	if u.Config != nil && (old == nil || u.Config.Version > old.config.Version) {
+		s.directory.Store(newDirectory(*u.Config))
+		s.roster.Configure(rules(*u.Config))
+		klog.InfoS("configuration in force", "event", "config", "config", u.Config.Number, "routes", len(u.Config.Routes),
+			"storeVersion", u.Version)
+	}
+	s.confirmed.Store(int64(read))
+}
+
+func rules(c Configuration) roster.Rules {
+	r := roster.Rules{Queues: make(map[task.QueueName]task.Queue), Guaranteed: make(map[id.Account]unit.Accelerators)}
+	for _, route := range c.Routes {
+		r.Queues[route.Name] = route.Queue
+	}
+	for _, a := range c.Accounts {
+		r.Guaranteed[a.Name] = a.Guaranteed
+	}
+	return r
+}
+
+type configEvent struct{ config Configuration }
+
+func (e configEvent) apply(s *session, _ time.Time, _ *batch) { s.roster.Configure(rules(e.config)) }
+
+// followConfig watches the configuration. The directory of calls changes at
+// once, and the roster with the next cycle.
+func (s *session) followConfig(ctx context.Context, version kv.Version) {
+	for ctx.Err() == nil {
+		sent := timer.Boot()
+		u, err := s.desk.config.Lists.NextConfig(ctx, version, configWait)
+		if problem.Is(err, problem.Expired) {
+			sent = timer.Boot()
+			u, err = s.desk.config.Lists.ReadConfig(ctx)
+		}
+		if err != nil {
+			s.listFailed(ctx, "configuration", err)
+			continue
+		}
+		version = max(version, u.Version)
+		if u.Config != nil && u.Config.Version > s.directory.Load().config.Version {
+			s.directory.Store(newDirectory(*u.Config))
+			klog.InfoS("configuration in force", "event", "config", "config", u.Config.Number,
+				"routes", len(u.Config.Routes), "storeVersion", u.Version)
+			_ = s.events.Put(configEvent{*u.Config}) // refused only when the session is over or far behind
+		}
+		if u.Config == nil {
+			// The service held the call back for the whole wait.
+			sent += configWait
+		}
+		s.confirmed.Store(int64(sent))
+	}
+}
+
+func (s *session) listFailed(ctx context.Context, name string, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	klog.InfoS("list not read; it is tried again", "event", "list", "list", name, "cause", err)
+	_ = timer.Sleep(ctx, s.desk.config.Timer, timer.Jitter(listRetry))
+}
+
+type workersEvent struct{ update Update }
+
+func (e workersEvent) apply(s *session, now time.Time, _ *batch) {
+	for _, w := range e.update.Workers {
+		s.roster.Listed(now, w)
+	}
+	for _, name := range e.update.Removed {
+		s.roster.Unlisted(now, name)
+	}
+}
+
+// list opens links to the workers of an update and passes it to the roster.
+func (s *session) list(ctx context.Context, now time.Time, u Update) {
+	for _, w := range u.Workers {
+		s.links.Update(w.ID, func(l *link, ok bool) (*link, bool) {
+			if !ok {
+				l = newLink(ctx, s, w)
+			} else {
+				l.moved(w)
+			}
+			return l, true
+		})
+	}
+	workersEvent{u}.apply(s, now, nil)
+}
+
+// followWorkers watches the list of workers.
+func (s *session) followWorkers(ctx context.Context, version kv.Version) {
+	for ctx.Err() == nil {
+		u, err := s.desk.config.Lists.NextWorkers(ctx, version, workersWait)
+		if problem.Is(err, problem.Expired) {
+			if u, err = s.desk.config.Lists.ReadWorkers(ctx); err == nil {
+				u.Removed = s.missing(u.Workers)
+			}
+		}
+		if err != nil {
+			s.listFailed(ctx, "workers", err)
+			continue
+		}
+		version = max(version, u.Version)
+		if len(u.Workers)+len(u.Removed) == 0 {
+			continue
+		}
+		if err := s.events.Put(listEvent{ctx: ctx, update: u}); err != nil && ctx.Err() == nil {
+			klog.ErrorS(err, "change of the list of workers lost", "event", "list")
+		}
+	}
+}
+
+// listEvent carries a change of the list with the context of the session,
+// under which links to new workers run.
+type listEvent struct {
+	ctx    context.Context
+	update Update
+}
+
+func (e listEvent) apply(s *session, now time.Time, _ *batch) { s.list(e.ctx, now, e.update) }
+
+// missing returns the workers with a link that a full list leaves out.
+func (s *session) missing(present []task.Worker) []id.Worker {
+	there := make(map[id.Worker]struct{}, len(present))
+	for _, w := range present {
+		there[w.ID] = struct{}{}
+	}
+	var gone []id.Worker
+	s.links.Range(func(name id.Worker, _ *link) bool {
+		if _, ok := there[name]; !ok {
+			gone = append(gone, name)
+		}
+		return true
+	})
+	return gone
+}
--- /dev/null
+++ b/lib/gate/gate.go
@@ -0,0 +1,257 @@
+// Package gate passes the calls of clients on any node to the node that owns
+// the scheduler, and tells whether this node can serve them.
+package gate
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bronzewinch.dev/lib/desk"
+	"bronzewinch.dev/lib/id"
+	"bronzewinch.dev/lib/peer"
+	"bronzewinch.dev/lib/problem"
+	"bronzewinch.dev/lib/tenure"
+	"bronzewinch.dev/lib/timer"
+
+	"k8s.io/klog/v2"
+)
+
+const (
+	// helloPeriod and helloTimeout let a node learn within a second that the
+	// owner is out of reach.
+	helloPeriod  = 400 * time.Millisecond
+	helloTimeout = 350 * time.Millisecond
+	// readyTime is how long one answer of the owner keeps this node ready.
+	readyTime = 1200 * time.Millisecond
+	// callTimeout bounds a call to the owner. Clients wait three seconds.
+	callTimeout = 2500 * time.Millisecond
+	// retryAfter is the time in which a new owner usually is at work.
+	retryAfter = time.Second
+)
+
+// Methods between nodes.
+const (
+	callMethod  = "call"
+	helloMethod = "hello"
+)
+
+// Hello tells the owner that a node is in touch.
+type Hello struct {
+	Node    id.Node `cbor:"node"`
+	Address string  `cbor:"address"`
+}
+
+// HelloReply tells what the node that was asked knows.
+type HelloReply struct {
+	Serving bool         `cbor:"serving"`
+	Owner   tenure.Owner `cbor:"owner"`
+	// Peers are addresses of nodes that were lately in touch.
+	Peers []string `cbor:"peers,omitempty"`
+}
+
+// Owners tells which node owns the scheduler.
+type Owners interface {
+	Owner() tenure.Owner
+	Told(tenure.Owner)
+	Check()
+}
+
+// Desk decides on calls where this node is the owner.
+type Desk interface {
+	Handle(ctx context.Context, req desk.Request) desk.Reply
+	Hello(from id.Node) bool
+}
+
+// Config configures a Gate.
+type Config struct {
+	Node    id.Node
+	Address string
+	// Seeds are addresses of nodes that may know the owner.
+	Seeds  []string
+	Owners Owners
+	Desk   Desk
+	Pool   *peer.Pool
+	Server *peer.Server
+	Timer  timer.Service
+}
+
+// Gate passes calls on.
+type Gate struct {
+	config Config
+	stop   context.CancelFunc
+	wg     sync.WaitGroup
+
+	leaving atomic.Bool
+
+	mu    sync.Mutex
+	ready time.Time            // when the owner last said that it serves
+	peers map[string]time.Time // addresses of other nodes, and when they were last told of
+}
+
+// New returns a gate that answers other nodes and keeps in touch with the
+// owner.
+func New(c Config) *Gate {
+	ctx, cancel := context.WithCancel(context.Background())
+	g := &Gate{config: c, stop: cancel, peers: make(map[string]time.Time)}
+	peer.Handle(c.Server, callMethod, func(ctx context.Context, req desk.Request) (desk.Reply, error) {
+		return c.Desk.Handle(ctx, req), nil
+	})
+	peer.Handle(c.Server, helloMethod, g.answerHello)
+	g.wg.Go(func() {
+		ticks := c.Timer.Every(helloPeriod)
+		defer ticks.Stop()
+		for {
+			g.greet(ctx)
+			select {
+			case <-ticks.C:
+			case <-ctx.Done():
+				return
+			}
+		}
+	})
+	return g
+}
+
+// Leave makes the node say that it is not ready, before it stops.
+func (g *Gate) Leave() { g.leaving.Store(true) }
+
+// Close ends the contact with other nodes.
+func (g *Gate) Close() {
+	g.stop()
+	g.wg.Wait()
+}
+
+// Ready reports whether calls to this node are likely to be served.
+func (g *Gate) Ready() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.leaving.Load() && g.config.Timer.Now().Sub(g.ready) < readyTime
+}
+
+// Handle has a call decided on by the owner.
+func (g *Gate) Handle(ctx context.Context, req desk.Request) desk.Reply {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	refused := desk.Reply{Outcome: desk.Refused, Detail: "the owner is out of reach; try again", RetryAfter: retryAfter}
+	for range 2 {
+		owner := g.config.Owners.Owner()
+		if owner.Node == g.config.Node {
+			return g.config.Desk.Handle(ctx, req)
+		}
+		if owner.Address == "" {
+			g.config.Owners.Check()
+			return refused
+		}
+		reply, err := peer.Call[desk.Request, desk.Reply](ctx, g.config.Pool, owner.Address, callMethod, req)
+		if err == nil {
+			return reply
+		}
+		klog.InfoS("call not answered by the owner", "event", "relay", "verb", req.Verb, "path", req.Path, "owner", owner.Node,
+			"fence", owner.Fence, "cause", err)
+		g.config.Owners.Check()
+		if !problem.Is(err, problem.Unavailable) && req.Verb == desk.Submit {
+			return desk.Reply{Outcome: desk.Unknown, Detail: "send the job again with the same id; it may have been accepted"}
+		}
+		if ctx.Err() != nil || g.config.Owners.Owner() == owner {
+			break
+		}
+	}
+	return refused
+}
+
+func (g *Gate) answerHello(_ context.Context, h Hello) (HelloReply, error) {
+	now := g.config.Timer.Now()
+	g.mu.Lock()
+	g.peers[h.Address] = now
+	g.mu.Unlock()
+	return HelloReply{Serving: g.config.Desk.Hello(h.Node), Owner: g.config.Owners.Owner(), Peers: g.known(now)}, nil
+}
+
+// peerTime is how long a node that is not heard of counts as a peer.
+const peerTime = 30 * time.Second
+
+func (g *Gate) known(now time.Time) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var all []string
+	for a, at := range g.peers {
+		if now.Sub(at) > peerTime {
+			delete(g.peers, a)
+			g.config.Pool.Forget(a)
+			continue
+		}
+		all = append(all, a)
+	}
+	return all
+}
+
+// greet keeps in touch with the owner. When the owner does not answer, other
+// nodes are asked who the owner is.
+func (g *Gate) greet(ctx context.Context) {
+	owner := g.config.Owners.Owner()
+	if owner.Node == g.config.Node {
+		if g.config.Desk.Hello("") {
+			g.served()
+		}
+		return
+	}
+	if owner.Address != "" {
+		if r, err := g.hello(ctx, owner.Address); err == nil {
+			if r.Serving {
+				g.served()
+			}
+			if r.Owner.Fence > owner.Fence {
+				g.config.Owners.Told(r.Owner)
+			}
+			return
+		}
+		if ctx.Err() == nil {
+			klog.InfoS("owner does not answer", "event", "owner", "owner", owner.Node, "fence", owner.Fence)
+		}
+		g.config.Owners.Check()
+	}
+	g.askOthers(ctx, owner)
+}
+
+func (g *Gate) askOthers(ctx context.Context, owner tenure.Owner) {
+	addresses := append(g.known(g.config.Timer.Now()), g.config.Seeds...)
+	var wg sync.WaitGroup
+	for _, a := range addresses {
+		if a == owner.Address || a == g.config.Address {
+			continue
+		}
+		wg.Go(func() {
+			if r, err := g.hello(ctx, a); err == nil && r.Owner.Fence > owner.Fence {
+				g.config.Owners.Told(r.Owner)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func (g *Gate) hello(ctx context.Context, address string) (HelloReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	r, err := peer.Call[Hello, HelloReply](ctx, g.config.Pool, address, helloMethod,
+		Hello{Node: g.config.Node, Address: g.config.Address})
+	if err != nil {
+		return r, err
+	}
+	now := g.config.Timer.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, a := range r.Peers {
+		if a != g.config.Address {
+			g.peers[a] = now
+		}
+	}
+	return r, nil
+}
+
+func (g *Gate) served() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ready = g.config.Timer.Now()
+}
--- /dev/null
+++ b/lib/roster/plan.go
@@ -0,0 +1,348 @@
+package roster
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"bronzewinch.dev/lib/id"
+	"bronzewinch.dev/lib/task"
+	"bronzewinch.dev/lib/unit"
+)
+
+// room is the room of one worker during a planning pass.
+type room struct {
+	*worker
+	// free is what is free now, without what is kept for guaranteed work.
+	free unit.Resources
+	// later is what will be free once the runs that are being stopped have
+	// ended, without what is kept for guaranteed work.
+	later unit.Resources
+}
+
+// pass is one planning pass over all jobs.
+type pass struct {
+	r     *Roster
+	now   time.Time
+	rooms []*room
+	// protected holds the jobs that lie within a guarantee.
+	protected map[*job]bool
+}
+
+// Plan starts what fits, guaranteed work first, and stops other work where a
+// guarantee needs its room.
+func (r *Roster) Plan(now time.Time) {
+	p := &pass{r: r, now: now, protected: r.guaranteed()}
+	for _, w := range r.workers {
+		if !w.listed || !w.met || w.Draining || now.Before(w.barred) {
+			continue
+		}
+		free := w.free()
+		later := free
+		for _, m := range w.members {
+			if m.stop {
+				later = later.Plus(m.group.spec().Demand)
+			}
+		}
+		p.rooms = append(p.rooms, &room{worker: w, free: free, later: later})
+	}
+	slices.SortFunc(p.rooms, func(a, b *room) int { return cmp.Compare(a.ID, b.ID) })
+	for _, j := range p.order() {
+		p.place(j)
+	}
+}
+
+// guaranteed returns the jobs that their accounts can claim room for: those of
+// the first priority, in order of acceptance, as long as their sum stays
+// within the guarantee.
+func (r *Roster) guaranteed() map[*job]bool {
+	used := make(map[id.Account]unit.Accelerators)
+	within := make(map[*job]bool)
+	for _, j := range r.active {
+		if j.queue.Priority != 0 {
+			continue
+		}
+		used[j.Account] += j.need()
+		if used[j.Account] <= r.rules.Guaranteed[j.Account] {
+			within[j] = true
+		}
+	}
+	return within
+}
+
+// order returns the jobs in the order in which they may take room: guaranteed
+// jobs, then by priority, then by the time at which they are due.
+func (p *pass) order() []*job {
+	type ranked struct {
+		j        *job
+		class    int
+		deadline time.Time
+	}
+	var all []ranked
+	for _, j := range p.r.active {
+		k := ranked{j: j, class: 1 + int(j.queue.Priority), deadline: p.r.deadline(j)}
+		if p.protected[j] {
+			k.class = 0
+		}
+		all = append(all, k)
+	}
+	slices.SortStableFunc(all, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.class, b.class), a.deadline.Compare(b.deadline))
+	})
+	jobs := make([]*job, len(all))
+	for i, k := range all {
+		jobs[i] = k.j
+	}
+	return jobs
+}
+
+// deadline is the objective of a job's oldest open occurrence.
+func (r *Roster) deadline(j *job) time.Time {
+	from := j.Accepted
+	if j.Occurrences > 0 && len(j.open) > 0 {
+		from = j.open[0].due
+	}
+	return from.Add(time.Duration(j.queue.Slack*float64(r.chain(j))) + j.queue.Target)
+}
+
+// chain is the expected time of a job's longest chain of steps.
+func (r *Roster) chain(j *job) time.Duration {
+	ends := make([]time.Duration, len(j.Steps))
+	var longest time.Duration
+	for i, s := range j.Steps {
+		var start time.Duration
+		for _, a := range s.After {
+			start = max(start, ends[a])
+		}
+		ends[i] = start + r.expected(j, s)
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// expected is the expected run time of a task.
+func (r *Roster) expected(j *job, s task.Step) time.Duration {
+	if e := r.runTime[j.Queue]; e != nil {
+		return time.Duration(e.ratio * float64(s.Estimate))
+	}
+	return s.Estimate
+}
+
+func (p *pass) place(j *job) {
+	for _, o := range j.open {
+		for i, s := range j.Steps {
+			if !o.stepReady(s) {
+				continue
+			}
+			for _, g := range o.steps[i] {
+				if g.idle() && !p.placeGroup(g) {
+					break // the other tasks of the step need the same room
+				}
+			}
+		}
+	}
+}
+
+// placeGroup starts a group if it fits, and otherwise claims room for it if
+// its job is guaranteed.
+func (p *pass) placeGroup(g *group) bool {
+	now := func(m *room) unit.Resources { return minimum(m.free, m.later) }
+	if rooms := p.fit(g, now); rooms != nil {
+		p.start(g, rooms)
+		return true
+	}
+	if !p.protected[g.job] {
+		return false
+	}
+	rooms := p.fit(g, func(m *room) unit.Resources { return m.later })
+	if rooms == nil {
+		rooms = p.claim(g)
+	}
+	for _, m := range rooms {
+		m.free = m.free.Minus(g.spec().Demand)
+		m.later = m.later.Minus(g.spec().Demand)
+	}
+	return rooms != nil
+}
+
+func (p *pass) start(g *group, rooms []*room) {
+	s := g.spec()
+	g.run++
+	g.started, g.stopping, g.faulted = p.now, false, false
+	for i, m := range rooms {
+		m.free, m.later = m.free.Minus(s.Demand), m.later.Minus(s.Demand)
+		mem := &member{group: g, index: g.first + i, worker: m.worker, incarnation: m.Incarnation, ordered: p.now,
+			advanced: p.now}
+		g.members = append(g.members, mem)
+		m.add(mem)
+		p.r.order(p.now, Start, mem)
+		p.r.note(Note{Event: "start", Job: g.job.ID, Task: mem.name(), Run: g.run, Worker: m.ID, Age: p.now.Sub(g.ready)})
+	}
+	p.r.touch(g.job)
+}
+
+func minimum(a, b unit.Resources) unit.Resources {
+	return unit.Resources{Accelerators: min(a.Accelerators, b.Accelerators), Cores: min(a.Cores, b.Cores),
+		Memory: min(a.Memory, b.Memory)}
+}
+
+// count is how many tasks of a demand fit into free, at most most.
+func count(demand, free unit.Resources, most int) int {
+	n := most
+	if free.Accelerators < 0 || free.Cores < 0 || free.Memory < 0 {
+		return 0
+	}
+	if demand.Accelerators > 0 {
+		n = min(n, int(free.Accelerators/demand.Accelerators))
+	}
+	if demand.Cores > 0 {
+		n = min(n, int(free.Cores/demand.Cores))
+	}
+	if demand.Memory > 0 {
+		n = min(n, int(free.Memory/demand.Memory))
+	}
+	return n
+}
+
+// allowed reports whether a group may run on a worker at all, and how many of
+// its tasks.
+func (p *pass) allowed(g *group, m *room) int {
+	s := g.spec()
+	if m.Service != g.job.queue.Service || s.Label != "" && !slices.Contains(m.Labels, s.Label) {
+		return 0
+	}
+	most := g.tasks
+	if s.MaxPerWorker > 0 {
+		most = min(most, s.MaxPerWorker)
+		for _, other := range m.members {
+			o := other.group
+			if o.job == g.job && o.occurrence == g.occurrence && o.step == g.step {
+				most--
+			}
+		}
+	}
+	return max(0, most)
+}
+
+// fit returns a room for each task of a group, or nil when there are none.
+// Tasks stay near their data and gangs within a rack as long as waiting for
+// that costs less than running remote.
+func (p *pass) fit(g *group, avail func(*room) unit.Resources) []*room {
+	s := g.spec()
+	all := p.candidates(g)
+	for _, near := range p.near(g, all) {
+		if rooms := pack(g, near, p, avail); rooms != nil {
+			return rooms
+		}
+	}
+	if (s.DataRack != "" || s.SameRack && g.tasks > 1) && !p.remoteAllowed(g, all) {
+		return nil
+	}
+	return pack(g, all, p, avail)
+}
+
+// candidates returns the rooms that a group may use, without workers on which
+// it has failed unless there are no others.
+func (p *pass) candidates(g *group) []*room {
+	var good, rest []*room
+	for _, m := range p.rooms {
+		if p.allowed(g, m) == 0 {
+			continue
+		}
+		if slices.Contains(g.avoid, m.ID) {
+			rest = append(rest, m)
+		} else {
+			good = append(good, m)
+		}
+	}
+	if len(good) == 0 {
+		return rest
+	}
+	return good
+}
+
+// near returns the sets of rooms in which a group runs at full speed, or none
+// when every room is as good.
+func (p *pass) near(g *group, all []*room) [][]*room {
+	s := g.spec()
+	if s.DataRack == "" && (!s.SameRack || g.tasks == 1) {
+		return nil
+	}
+	racks := make(map[id.Rack][]*room)
+	var names []id.Rack
+	for _, m := range all {
+		if s.DataRack != "" && m.Rack != s.DataRack {
+			continue
+		}
+		if racks[m.Rack] == nil {
+			names = append(names, m.Rack)
+		}
+		racks[m.Rack] = append(racks[m.Rack], m)
+	}
+	free := func(name id.Rack) (sum unit.Accelerators) {
+		for _, m := range racks[name] {
+			sum += max(0, m.free.Accelerators)
+		}
+		return sum
+	}
+	slices.SortStableFunc(names, func(a, b id.Rack) int { return cmp.Compare(free(a), free(b)) })
+	var sets [][]*room
+	for _, name := range names {
+		sets = append(sets, racks[name])
+	}
+	return sets
+}
+
+// remoteAllowed reports whether a group may run away from its data or over
+// several racks: at once when no rack could ever hold it or when it is
+// guaranteed, and else when it has waited as long as running remote costs.
+func (p *pass) remoteAllowed(g *group, all []*room) bool {
+	if p.protected[g.job] {
+		return true
+	}
+	capacity := func(m *room) unit.Resources { return m.Capacity }
+	possible := false
+	for _, near := range p.near(g, all) {
+		if pack(g, near, p, capacity) != nil {
+			possible = true
+		}
+	}
+	cost := time.Duration((p.r.config.RemoteFactor - 1) * float64(p.r.expected(g.job, *g.spec())))
+	return !possible || p.now.Sub(g.ready) > cost
+}
+
+// pack puts the tasks of a group on the rooms with the least free
+// accelerators, so that empty workers stay empty for large tasks.
+func pack(g *group, rooms []*room, p *pass, avail func(*room) unit.Resources) []*room {
+	s := g.spec()
+	type choice struct {
+		m    *room
+		n    int
+		free unit.Resources
+	}
+	var choices []choice
+	total := 0
+	for _, m := range rooms {
+		free := avail(m)
+		if n := count(s.Demand, free, p.allowed(g, m)); n > 0 {
+			choices = append(choices, choice{m, n, free})
+			total += n
+		}
+	}
+	if total < g.tasks {
+		return nil
+	}
+	slices.SortStableFunc(choices, func(a, b choice) int {
+		return cmp.Or(cmp.Compare(a.free.Accelerators, b.free.Accelerators), cmp.Compare(a.free.Cores, b.free.Cores))
+	})
+	placed := make([]*room, 0, g.tasks)
+	for _, c := range choices {
+		for range c.n {
+			if len(placed) == g.tasks {
+				return placed
+			}
+			placed = append(placed, c.m)
+		}
+	}
+	return placed
+}
--- /dev/null
+++ b/lib/roster/roster.go
@@ -0,0 +1,189 @@
+// Package roster is the state of the jobs and workers of a deployment on the
+// node that owns it, and the decisions taken on that state: what starts where,
+// what is stopped, and when a job is over. It makes no calls: events go in,
+// and the records to store and the orders to send come out.
+package roster
+
+import (
+	"time"
+
+	"bronzewinch.dev/lib/id"
+	"bronzewinch.dev/lib/task"
+	"bronzewinch.dev/lib/unit"
+)
+
+// Config holds the bounds of the deployment. Zero values take no default: the
+// platform's settings give all of them.
+type Config struct {
+	// HoldMax is the longest lease that a worker grants to its runs.
+	HoldMax time.Duration
+	// RemoteFactor is how much longer a task runs away from its rack.
+	RemoteFactor float64
+	// Keep is how long an ended job stays known.
+	Keep time.Duration
+	// Restore is the time that a start from a checkpoint takes beforehand.
+	Restore time.Duration
+}
+
+const (
+	// clockError is the most by which a worker's clock is slow, from the
+	// platform's contract.
+	clockError = 0.02
+	// lapseSlack covers the time between a lease's end and the end of its runs.
+	lapseSlack = 200 * time.Millisecond
+)
+
+// Lapse returns the time after which a lease granted at sent has surely ended.
+func (c Config) Lapse(sent time.Time) time.Time {
+	return sent.Add(time.Duration(float64(c.HoldMax)*(1+clockError)) + lapseSlack)
+}
+
+// Rules is the part of the operators' configuration that placement follows.
+type Rules struct {
+	Queues     map[task.QueueName]task.Queue
+	Guaranteed map[id.Account]unit.Accelerators
+}
+
+// OrderKind is what a worker is told to do.
+type OrderKind string
+
+// The kinds of orders.
+const (
+	Start OrderKind = "start"
+	Stop  OrderKind = "stop"
+)
+
+// Order is one instruction to a worker. It is sent only after the records of
+// the same Changes are stored.
+type Order struct {
+	Kind        OrderKind
+	Worker      id.Worker
+	Incarnation task.Incarnation
+	Task        task.Name
+	Run         task.Run
+	Spec        string
+	Saved       task.Checkpoint
+	Issued      time.Time
+}
+
+// Note is one decision or change of belief, for the log.
+type Note struct {
+	Event  string
+	Job    id.Job
+	Task   task.Name
+	Run    task.Run
+	Worker id.Worker
+	Reason string
+	// Age is how long the subject has waited or run.
+	Age time.Duration
+}
+
+// Changes is what a series of events led to.
+type Changes struct {
+	Jobs     []task.Job
+	Progress []task.Progress
+	Removed  []id.Job
+	Orders   []Order
+	Notes    []Note
+}
+
+// Roster is the state. It is used by one goroutine at a time.
+type Roster struct {
+	config  Config
+	rules   Rules
+	jobs    map[id.Job]*job
+	active  []*job // jobs that have not ended, in order of acceptance
+	workers map[id.Worker]*worker
+	runTime map[task.QueueName]*estimate
+
+	fresh   []task.Job
+	dirty   map[id.Job]*job
+	removed []id.Job
+	orders  []Order
+	notes   []Note
+}
+
+// New returns a roster without jobs and workers.
+func New(c Config) *Roster {
+	return &Roster{
+		config: c, jobs: make(map[id.Job]*job), workers: make(map[id.Worker]*worker),
+		runTime: make(map[task.QueueName]*estimate), dirty: make(map[id.Job]*job),
+	}
+}
+
+// Configure puts rules into force.
+func (r *Roster) Configure(rules Rules) {
+	r.rules = rules
+	for _, j := range r.jobs {
+		if q, ok := rules.Queues[j.Queue]; ok {
+			j.queue = q
+		}
+	}
+}
+
+// Take returns what has changed since the last call.
+func (r *Roster) Take() Changes {
+	c := Changes{Jobs: r.fresh, Removed: r.removed, Orders: r.orders, Notes: r.notes}
+	for _, j := range r.dirty {
+		c.Progress = append(c.Progress, j.progress())
+	}
+	clear(r.dirty)
+	r.fresh, r.removed, r.orders, r.notes = nil, nil, nil, nil
+	return c
+}
+
+// Status is what a submitter sees of a job.
+type Status struct {
+	Queue   task.QueueName
+	Account id.Account
+	State   task.State
+}
+
+// Status returns the status of a job, or false when it is not known.
+func (r *Roster) Status(name id.Job) (Status, bool) {
+	j, ok := r.jobs[name]
+	if !ok {
+		return Status{}, false
+	}
+	return Status{Queue: j.Queue, Account: j.Account, State: j.visible()}, true
+}
+
+// Waiting returns the number of jobs of a queue of which no task has started.
+func (r *Roster) Waiting(queue task.QueueName) int {
+	n := 0
+	for _, j := range r.active {
+		if j.Queue == queue && !j.begun {
+			n++
+		}
+	}
+	return n
+}
+
+// Busy reports whether a worker has runs that are not known to have ended.
+func (r *Roster) Busy(name id.Worker) bool {
+	w := r.workers[name]
+	return w != nil && len(w.members) > 0
+}
+
+func (r *Roster) note(n Note) { r.notes = append(r.notes, n) }
+
+func (r *Roster) touch(j *job) { r.dirty[j.ID] = j }
+
+func (r *Roster) order(now time.Time, kind OrderKind, m *member) {
+	o := Order{Kind: kind, Worker: m.worker.ID, Incarnation: m.incarnation, Task: m.name(), Run: m.group.run, Issued: now}
+	if kind == Start {
+		o.Spec, o.Saved = m.group.job.Spec, m.group.saved
+		w := m.worker
+		if lapse := r.config.Lapse(now.Add(orderTime)); lapse.After(w.lapse) {
+			w.lapse = lapse
+		}
+	}
+	r.orders = append(r.orders, o)
+}
+
+// orderTime bounds the time that an order waits for its record to be stored
+// and is sent and sent again. Links give up on older orders.
+const orderTime = 3 * time.Second
+
+// OrderTime returns the time after which an order must not be sent any more.
+func (o Order) OrderTime() time.Time { return o.Issued.Add(orderTime) }
--- /dev/null
+++ b/lib/roster/worker.go
@@ -0,0 +1,377 @@
+package roster
+
+import (
+	"slices"
+	"time"
+
+	"bronzewinch.dev/lib/id"
+	"bronzewinch.dev/lib/task"
+	"bronzewinch.dev/lib/unit"
+)
+
+const (
+	// suspectTime keeps new starts off a worker that left an order unanswered.
+	suspectTime = 2 * time.Second
+	// fullTime keeps starts off a worker that refused one for want of room,
+	// until its next report.
+	fullTime = 500 * time.Millisecond
+	// faultsInRow is the number of failed runs of different jobs, without a
+	// success between them, that bars a worker. Tasks fail by their own fault
+	// one time in twenty, so three in a row are the worker's.
+	faultsInRow = 2
+	// restopTime is the pause between orders to stop that go unanswered.
+	restopTime = time.Second
+	// barTime is how long a failing worker is out of placement before it is
+	// tried again.
+	barTime = 8 * time.Second
+	// stillTime is how long a run may show no progress before it is moved.
+	stillTime = 3500 * time.Millisecond
+)
+
+type worker struct {
+	task.Worker
+	listed  bool // the platform's list has the worker
+	members []*member
+	used    unit.Resources
+	lapse   time.Time // when the last lease granted has surely ended
+	met     bool      // it has answered this owner
+	barred  time.Time // no starts before this time
+	faults  []id.Job  // jobs that failed here since the last success
+}
+
+func (w *worker) add(m *member) {
+	w.members = append(w.members, m)
+	w.used = w.used.Plus(m.group.spec().Demand)
+}
+
+func (w *worker) drop(m *member) {
+	n := len(w.members)
+	w.members = slices.DeleteFunc(w.members, func(other *member) bool { return other == m })
+	if len(w.members) < n {
+		w.used = w.used.Minus(m.group.spec().Demand)
+	}
+}
+
+func (w *worker) free() unit.Resources { return w.Capacity.Minus(w.used) }
+
+func (w *worker) find(name task.Name, run task.Run) *member {
+	for _, m := range w.members {
+		if m.group.run == run && m.name() == name {
+			return m
+		}
+	}
+	return nil
+}
+
+func (r *Roster) worker(name id.Worker) *worker {
+	w, ok := r.workers[name]
+	if !ok {
+		w = &worker{Worker: task.Worker{ID: name}}
+		r.workers[name] = w
+	}
+	return w
+}
+
+// Listed takes over what the platform's list says of a worker.
+func (r *Roster) Listed(now time.Time, info task.Worker) {
+	w := r.worker(info.ID)
+	if w.Incarnation != 0 && info.Incarnation < w.Incarnation {
+		return
+	}
+	r.reborn(now, w, info.Incarnation)
+	if info.Draining && !w.Draining {
+		r.note(Note{Event: "workerDraining", Worker: w.ID})
+	}
+	draining := info.Draining || w.Draining && w.Incarnation == info.Incarnation
+	w.Worker, w.listed = info, true
+	w.Draining = draining
+	if draining {
+		r.drain(now, w)
+	}
+}
+
+// Unlisted notes that the platform's list no longer has a worker. Its runs
+// count as present until its lease has run out.
+func (r *Roster) Unlisted(now time.Time, name id.Worker) {
+	w, ok := r.workers[name]
+	if !ok {
+		return
+	}
+	w.listed = false
+	r.note(Note{Event: "workerUnlisted", Worker: name})
+	if len(w.members) == 0 {
+		delete(r.workers, name)
+	}
+}
+
+// reborn ends the runs of earlier incarnations of a worker.
+func (r *Roster) reborn(now time.Time, w *worker, born task.Incarnation) {
+	if w.Incarnation != 0 && w.Incarnation != born {
+		w.Draining, w.faults, w.barred = false, nil, time.Time{}
+	}
+	w.Incarnation = born
+	for _, m := range slices.Clone(w.members) {
+		if m.incarnation != born {
+			r.memberEnded(now, m, task.Lapsed, "", "the worker has started anew")
+		}
+	}
+}
+
+// drain moves runs that can save their progress off a worker that leaves.
+func (r *Roster) drain(now time.Time, w *worker) {
+	for _, m := range slices.Clone(w.members) {
+		if s := m.group.spec(); s.Checkpoints && !s.Gang {
+			r.stopGroup(now, m.group, "the worker leaves")
+		}
+	}
+}
+
+// Heard takes over a worker's report on its runs. The report answers a call
+// that was sent at sent and granted a lease if granted is true.
+func (r *Roster) Heard(now, sent time.Time, granted bool, rep task.Report) {
+	w := r.worker(rep.Worker)
+	if rep.Incarnation < w.Incarnation {
+		return
+	}
+	r.reborn(now, w, rep.Incarnation)
+	w.met = true
+	if lapse := r.config.Lapse(sent); granted && lapse.After(w.lapse) {
+		w.lapse = lapse
+	}
+	if rep.Draining && !w.Draining {
+		w.Draining = true
+		r.note(Note{Event: "workerDraining", Worker: w.ID, Reason: "told by the worker", Age: rep.Remaining})
+		r.drain(now, w)
+	}
+	listed := make(map[task.Name]struct{}, len(rep.Active))
+	for _, a := range rep.Active {
+		listed[a.Task] = struct{}{}
+		r.heardActive(now, w, a)
+	}
+	for _, e := range rep.Ends {
+		r.heardEnd(now, w, e)
+	}
+	for _, m := range slices.Clone(w.members) {
+		if _, ok := listed[m.name()]; !ok && !m.settled.IsZero() && sent.After(m.settled) {
+			r.memberEnded(now, m, task.Lapsed, "", "the worker no longer lists the run")
+		}
+	}
+}
+
+// Granted notes that a lease may have been granted by a call that was sent at
+// sent and not answered.
+func (r *Roster) Granted(name id.Worker, sent time.Time) {
+	w, ok := r.workers[name]
+	if lapse := r.config.Lapse(sent); ok && lapse.After(w.lapse) {
+		w.lapse = lapse
+	}
+}
+
+func (r *Roster) heardActive(now time.Time, w *worker, a task.Active) {
+	m := w.find(a.Task, a.Run)
+	if m == nil {
+		r.orders = append(r.orders, Order{Kind: Stop, Worker: w.ID, Incarnation: w.Incarnation, Task: a.Task, Run: a.Run,
+			Issued: now})
+		r.note(Note{Event: "stop", Job: a.Task.Job, Task: a.Task, Run: a.Run, Worker: w.ID, Reason: "no record of this run"})
+		return
+	}
+	g := m.group
+	m.running, g.job.begun = true, true
+	if a.Saved != "" {
+		g.saved = a.Saved
+	}
+	if a.Percent > m.percent || m.advanced.IsZero() {
+		m.percent, m.advanced = a.Percent, now
+	}
+	if !m.stop && now.Sub(m.advanced) > stillTime && a.Percent < 100 && !g.spec().Service {
+		w.barred = now.Add(barTime)
+		g.avoid = append(g.avoid, w.ID)
+		r.stopGroup(now, g, "the run makes no progress")
+	}
+}
+
+func (r *Roster) heardEnd(now time.Time, w *worker, e task.End) {
+	m := w.find(e.Task, e.Run)
+	if m == nil {
+		r.lateEnd(now, e)
+		return
+	}
+	switch e.How {
+	case task.Done:
+		w.faults = nil
+	case task.Faulted:
+		r.blame(now, w, e.Task.Job)
+		m.group.avoid = append(m.group.avoid, w.ID)
+	}
+	r.memberEnded(now, m, e.How, e.Saved, "reported by the worker")
+}
+
+// lateEnd accepts the success of a run that was given up but not replaced.
+func (r *Roster) lateEnd(now time.Time, e task.End) {
+	j := r.jobs[e.Task.Job]
+	if j == nil || e.How != task.Done || j.state.Ended() {
+		return
+	}
+	for _, o := range j.open {
+		if o.number != e.Task.Occurrence || e.Task.Step >= len(o.steps) {
+			continue
+		}
+		for _, g := range o.steps[e.Task.Step] {
+			if e.Task.Index >= g.first && e.Task.Index < g.first+g.tasks && g.run == e.Run && g.idle() {
+				r.groupDone(now, g)
+			}
+		}
+	}
+}
+
+// blame counts a failed run against its worker, once for each job.
+func (r *Roster) blame(now time.Time, w *worker, name id.Job) {
+	if slices.Contains(w.faults, name) {
+		return
+	}
+	w.faults = append(w.faults, name)
+	if len(w.faults) >= faultsInRow {
+		w.barred = now.Add(barTime)
+		w.faults = w.faults[:faultsInRow-1]
+		r.note(Note{Event: "workerBarred", Worker: w.ID, Reason: "runs of several jobs failed on it"})
+	}
+}
+
+// memberEnded takes a member out of the run in progress of its group.
+func (r *Roster) memberEnded(now time.Time, m *member, how task.How, saved task.Checkpoint, reason string) {
+	g, j := m.group, m.group.job
+	m.worker.drop(m)
+	if !m.worker.listed && len(m.worker.members) == 0 {
+		delete(r.workers, m.worker.ID)
+	}
+	g.members = slices.DeleteFunc(g.members, func(other *member) bool { return other == m })
+	r.touch(j)
+	r.note(Note{Event: "ended", Job: j.ID, Task: m.name(), Run: g.run, Worker: m.worker.ID,
+		Reason: string(how) + ": " + reason, Age: now.Sub(g.started)})
+	if saved != "" {
+		g.saved = saved
+	}
+	if how == task.Done && !g.spec().Service {
+		if !g.done {
+			r.learn(now, g, m)
+		}
+		r.groupDone(now, g)
+	}
+	if how == task.Faulted && !g.faulted && !g.done {
+		g.faulted = true
+		g.failures++
+		if g.failures >= j.queue.Attempts && !g.spec().Service && !j.state.Ended() {
+			r.finish(now, j, task.Failed, "a task has failed as often as its queue allows")
+		}
+	}
+	if len(g.members) == 0 {
+		g.stopping, g.faulted, g.ready = false, false, now
+	}
+}
+
+// Answer is a worker's answer to an order.
+type Answer string
+
+// The answers to an order.
+const (
+	// Accepted means that the order was carried out, now or before.
+	Accepted Answer = "accepted"
+	// Full means that the worker has no room for the run.
+	Full Answer = "full"
+	// Refused means that the worker did nothing, for another reason.
+	Refused Answer = "refused"
+	// NotSent means that the order was not sent.
+	NotSent Answer = "notSent"
+	// Unanswered means that the order may be carried out, now or later.
+	Unanswered Answer = "unanswered"
+)
+
+// Answered takes over the answer to an order.
+func (r *Roster) Answered(now time.Time, o Order, a Answer) {
+	w, ok := r.workers[o.Worker]
+	if !ok {
+		return
+	}
+	m := w.find(o.Task, o.Run)
+	if m == nil || m.incarnation != o.Incarnation {
+		return
+	}
+	if o.Kind == Stop {
+		if a != NotSent && a != Unanswered {
+			m.settled = now
+		}
+		return
+	}
+	g := m.group
+	switch a {
+	case Accepted:
+		m.running, g.job.begun = true, true
+		if !m.stop {
+			m.settled, m.advanced = now, now
+		}
+	case Unanswered:
+		w.barred = now.Add(suspectTime)
+		r.stopGroup(now, g, "a start was not answered")
+	default:
+		w.barred = now.Add(fullTime)
+		if a == Refused {
+			w.barred = now.Add(suspectTime)
+		}
+		r.memberEnded(now, m, task.Lapsed, "", "start "+string(a))
+		r.stopGroup(now, g, "a member of the gang could not start")
+	}
+}
+
+// Tick opens occurrences that are due, gives up runs on workers whose lease
+// has surely ended, and removes jobs that ended long ago.
+func (r *Roster) Tick(now time.Time) {
+	for _, j := range r.active {
+		r.openDue(now, j)
+	}
+	for _, w := range r.workers {
+		if len(w.members) > 0 && now.After(w.lapse) {
+			for _, m := range slices.Clone(w.members) {
+				r.memberEnded(now, m, task.Lapsed, "", "the worker did not answer until its lease ended")
+			}
+		}
+	}
+	for _, w := range r.workers {
+		for _, m := range w.members {
+			if m.stop && m.settled.IsZero() && now.Sub(m.stopped) > restopTime {
+				m.stopped = now
+				r.order(now, Stop, m)
+			}
+		}
+	}
+	for name, j := range r.jobs {
+		if j.state.Ended() && now.Sub(j.ended) > r.config.Keep {
+			delete(r.jobs, name)
+			r.removed = append(r.removed, name)
+		}
+	}
+}
+
+// estimate is a moving average of the time that runs of a queue take against
+// the submitters' estimates.
+type estimate struct {
+	ratio float64
+	runs  int
+}
+
+// learnWeight is the weight of the newest run in an estimate.
+const learnWeight = 0.1
+
+func (r *Roster) learn(now time.Time, g *group, m *member) {
+	s := g.spec()
+	if s.Estimate <= 0 || g.saved != "" {
+		return
+	}
+	e := r.runTime[g.job.Queue]
+	if e == nil {
+		e = &estimate{ratio: 1}
+		r.runTime[g.job.Queue] = e
+	}
+	ratio := float64(now.Sub(m.ordered)) / float64(s.Estimate)
+	e.ratio += learnWeight * (ratio - e.ratio)
+	e.runs++
+}
--- /dev/null
+++ b/lib/tenure/tenure.go
@@ -0,0 +1,366 @@
+// Package tenure decides which node owns the scheduler. The owner holds a key
+// in the key-value service under a lease. Each change of owner raises the
+// fence and replaces the version of the commit key, so that neither workers
+// nor the service accept anything from an earlier owner.
+package tenure
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bronzewinch.dev/lib/codec"
+	"bronzewinch.dev/lib/id"
+	"bronzewinch.dev/lib/kv"
+	"bronzewinch.dev/lib/problem"
+	"bronzewinch.dev/lib/task"
+	"bronzewinch.dev/lib/timer"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+	"k8s.io/klog/v2"
+)
+
+// Keys of the key-value service.
+const (
+	OwnerKey  = "bronzewinch/owner"
+	CommitKey = "bronzewinch/commit"
+)
+
+const (
+	// leaseTime bounds the time without an owner after one has failed. It is
+	// several times the answer time of a slow store.
+	leaseTime = 2500 * time.Millisecond
+	// renewPeriod leaves time for two more attempts when a renewal is lost.
+	renewPeriod = 800 * time.Millisecond
+	callTimeout = 700 * time.Millisecond
+	// validSlack covers the difference between this node's clock and the
+	// service's over one lease.
+	validSlack = 150 * time.Millisecond
+	// GraceTime is how long after its last renewal an owner still extends the
+	// leases of runs. It bridges an outage of the service, and a new owner waits
+	// for it before it gives up runs on workers that it can't reach.
+	GraceTime = 12 * time.Second
+	retryWait = 150 * time.Millisecond
+	// retryMost bounds the pause between calls to a service that does not answer.
+	retryMost = time.Second
+	// restTime is how long a node that gave up ownership leaves it to others.
+	restTime = 2 * time.Second
+)
+
+// Store is the part of the key-value service that ownership needs.
+type Store interface {
+	Get(ctx context.Context, key string) (kv.Item, error)
+	Watch(ctx context.Context, prefix string, from kv.Version, wait time.Duration) ([]kv.Event, kv.Version, error)
+	Grant(ctx context.Context, ttl time.Duration) (kv.LeaseID, error)
+	KeepAlive(ctx context.Context, lease kv.LeaseID) error
+	Revoke(ctx context.Context, lease kv.LeaseID) error
+	Commit(ctx context.Context, txn kv.Txn) (kv.TxnResult, error)
+}
+
+// Holder does the work of an owner.
+type Holder interface {
+	// Serve works until ctx ends or the term is over.
+	Serve(ctx context.Context, term *Term) error
+}
+
+// Owner is the node that owns the scheduler.
+type Owner struct {
+	Node    id.Node    `cbor:"node"`
+	Address string     `cbor:"address"`
+	Fence   task.Fence `cbor:"fence"`
+}
+
+// Mark is the value of the commit key.
+type Mark struct {
+	Fence  task.Fence `cbor:"fence"`
+	Number uint64     `cbor:"number"`
+}
+
+// DecodeMark reads the value of the commit key.
+func DecodeMark(b []byte) (Mark, error) {
+	var m Mark
+	err := cbor.Unmarshal(b, &m)
+	return m, errors.Wrap(err, "commit key")
+}
+
+// Encode returns the value of the commit key.
+func (m Mark) Encode() ([]byte, error) { return codec.CBOR.Marshal(m) }
+
+// Term is one time of ownership.
+type Term struct {
+	Fence task.Fence
+	// Commit is the version of the commit key at the start of the term.
+	Commit kv.Version
+
+	lease   kv.LeaseID
+	renewed atomic.Int64 // timer.Boot at the last renewal
+	cancel  context.CancelCauseFunc
+}
+
+// Valid reports whether no other node can own the scheduler.
+func (t *Term) Valid() bool { return t.age() < leaseTime-validSlack }
+
+// MayExtend reports whether leases of runs may still be extended.
+func (t *Term) MayExtend() bool { return t.age() < GraceTime }
+
+// End gives ownership up.
+func (t *Term) End(cause error) { t.cancel(cause) }
+
+func (t *Term) age() time.Duration { return timer.Boot() - time.Duration(t.renewed.Load()) }
+
+// Config configures a Tenure.
+type Config struct {
+	Node    id.Node
+	Address string
+	Store   Store
+	Holder  Holder
+	Timer   timer.Service
+}
+
+// Tenure follows the owner key, and campaigns when there is no owner.
+type Tenure struct {
+	config Config
+	poke   chan struct{}
+	stop   context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu    sync.Mutex
+	owner Owner
+	rest  time.Time
+}
+
+// New starts to follow the owner.
+func New(c Config) *Tenure {
+	ctx, cancel := context.WithCancel(context.Background())
+	t := &Tenure{config: c, poke: make(chan struct{}, 1), stop: cancel}
+	t.wg.Go(func() { t.follow(ctx) })
+	return t
+}
+
+// Close gives ownership up and stops.
+func (t *Tenure) Close() {
+	t.stop()
+	t.wg.Wait()
+}
+
+// Owner returns the owner as last seen. Its Node is empty when there is none.
+func (t *Tenure) Owner() Owner {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.owner
+}
+
+// Told takes over an owner that another node has told of.
+func (t *Tenure) Told(o Owner) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if o.Fence > t.owner.Fence {
+		t.owner = o
+	}
+}
+
+// Check makes the node read the owner key at once, because the owner did not
+// answer.
+func (t *Tenure) Check() {
+	select {
+	case t.poke <- struct{}{}:
+	default:
+	}
+}
+
+func (t *Tenure) set(o Owner) {
+	t.mu.Lock()
+	changed := t.owner != o
+	t.owner = o
+	t.mu.Unlock()
+	if changed {
+		klog.InfoS("owner changed", "event", "owner", "node", t.config.Node, "owner", o.Node, "fence", o.Fence)
+	}
+}
+
+func (t *Tenure) follow(ctx context.Context) {
+	pause := retryWait
+	for ctx.Err() == nil {
+		version, found, err := t.read(ctx)
+		if err == nil {
+			pause = retryWait
+		}
+		switch {
+		case err != nil:
+			_ = timer.Sleep(ctx, t.config.Timer, pause)
+			pause = min(2*pause, retryMost)
+		case !found && !t.resting():
+			if err := t.campaign(ctx); err != nil && ctx.Err() == nil {
+				klog.InfoS("ownership not won", "event", "campaign", "node", t.config.Node, "cause", err)
+				_ = timer.Sleep(ctx, t.config.Timer, timer.Jitter(retryWait))
+			}
+		case !found:
+			_ = timer.Sleep(ctx, t.config.Timer, retryWait)
+		default:
+			t.wait(ctx, version)
+		}
+	}
+}
+
+func (t *Tenure) resting() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.config.Timer.Now().Before(t.rest)
+}
+
+// read returns whether there is an owner, and the version of its key.
+func (t *Tenure) read(ctx context.Context) (kv.Version, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	item, err := t.config.Store.Get(ctx, OwnerKey)
+	if problem.Is(err, problem.NotFound) {
+		t.set(Owner{Fence: t.Owner().Fence})
+		return 0, false, nil
+	}
+	if err != nil {
+		return 0, false, err
+	}
+	var o Owner
+	if err := cbor.Unmarshal(item.Value, &o); err != nil {
+		return 0, false, errors.Wrap(err, "owner key")
+	}
+	t.set(o)
+	return item.Version, true, nil
+}
+
+// watchWait bounds the time for which a watch that hears nothing is trusted.
+const watchWait = 3 * time.Second
+
+// wait returns when the owner key has changed, or after Check.
+func (t *Tenure) wait(ctx context.Context, version kv.Version) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan struct{})
+	t.wg.Go(func() {
+		defer close(done)
+		for ctx.Err() == nil {
+			events, next, err := t.config.Store.Watch(ctx, OwnerKey, version, watchWait)
+			if err != nil || len(events) > 0 {
+				return
+			}
+			version = max(version, next)
+		}
+	})
+	select {
+	case <-done:
+	case <-t.poke:
+		cancel()
+		<-done
+		// Pokes come with each failed call; reading more often than this would
+		// only load the service.
+		_ = timer.Sleep(context.WithoutCancel(ctx), t.config.Timer, retryWait)
+	case <-ctx.Done():
+	}
+}
+
+// campaign tries to become the owner, and works as the owner until the term
+// is over.
+func (t *Tenure) campaign(ctx context.Context) error {
+	term, err := t.win(ctx)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	term.cancel = cancel
+	t.set(Owner{Node: t.config.Node, Address: t.config.Address, Fence: term.Fence})
+	klog.InfoS("ownership won", "event", "term", "node", t.config.Node, "fence", term.Fence)
+	var wg sync.WaitGroup
+	wg.Go(func() { t.renew(ctx, term) })
+	err = t.config.Holder.Serve(ctx, term)
+	if cause := context.Cause(ctx); cause != nil {
+		err = cause
+	}
+	cancel(err)
+	wg.Wait()
+	klog.InfoS("ownership ended", "event", "term", "node", t.config.Node, "fence", term.Fence, "cause", err)
+	t.mu.Lock()
+	t.owner = Owner{Fence: term.Fence}
+	t.rest = t.config.Timer.Now().Add(restTime)
+	t.mu.Unlock()
+	ending, done := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+	defer done()
+	if err := t.config.Store.Revoke(ending, term.lease); err != nil && !problem.Is(err, problem.NotFound) {
+		klog.InfoS("lease not ended; it runs out by itself", "event", "term", "cause", err)
+	}
+	return nil
+}
+
+// win writes the owner key and raises the fence in one transaction.
+func (t *Tenure) win(ctx context.Context) (*Term, error) {
+	ctx, cancel := context.WithTimeout(ctx, 3*callTimeout)
+	defer cancel()
+	var mark Mark
+	item, err := t.config.Store.Get(ctx, CommitKey)
+	switch {
+	case problem.Is(err, problem.NotFound):
+	case err != nil:
+		return nil, err
+	default:
+		if mark, err = DecodeMark(item.Value); err != nil {
+			return nil, err
+		}
+	}
+	sent := timer.Boot()
+	lease, err := t.config.Store.Grant(ctx, leaseTime)
+	if err != nil {
+		return nil, err
+	}
+	mark = Mark{Fence: mark.Fence + 1}
+	value, err := mark.Encode()
+	if err != nil {
+		return nil, err
+	}
+	owner, err := codec.CBOR.Marshal(Owner{Node: t.config.Node, Address: t.config.Address, Fence: mark.Fence})
+	if err != nil {
+		return nil, err
+	}
+	result, err := t.config.Store.Commit(ctx, kv.Txn{
+		Expect: []kv.Expect{{Key: OwnerKey}, {Key: CommitKey, Version: item.Version}},
+		Writes: []kv.Write{{Key: OwnerKey, Value: owner, Lease: lease}, {Key: CommitKey, Value: value}},
+	})
+	if err == nil && !result.Committed {
+		err = problem.New(problem.Conflict, problem.Detail{Field: "owner key", Remedy: "follow the node that has won"})
+	}
+	if err != nil {
+		// A lost answer may hide success; the lease must not keep the key then.
+		_ = t.config.Store.Revoke(context.WithoutCancel(ctx), lease)
+		return nil, err
+	}
+	term := &Term{Fence: mark.Fence, Commit: result.Version, lease: lease}
+	term.renewed.Store(int64(sent))
+	return term, nil
+}
+
+// renew keeps the lease of a term until the term is over.
+func (t *Tenure) renew(ctx context.Context, term *Term) {
+	tick := t.config.Timer.Every(renewPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		sent := timer.Boot()
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		err := t.config.Store.KeepAlive(call, term.lease)
+		cancel()
+		switch {
+		case err == nil:
+			term.renewed.Store(int64(sent))
+		case problem.Is(err, problem.NotFound):
+			term.End(errors.Wrap(err, "the lease of the owner key has ended"))
+			return
+		case ctx.Err() == nil:
+			klog.InfoS("lease not renewed", "event", "term", "fence", term.Fence, "age", term.age(), "cause", err)
+		}
+	}
+}
--- /dev/null
+++ b/lib/timer/boot.go
@@ -0,0 +1,18 @@
+package timer
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Boot returns the time since the machine started, including the time for
+// which it was suspended. Differences between results of time.Now leave that
+// time out, so a lease has to be measured with Boot.
+func Boot() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		return time.Duration(time.Now().UnixNano())
+	}
+	return time.Duration(ts.Nano())
+}
