Start watches at the store's present version; survive SIGHUP; let time pass last

Change: watches start at the version of a list; SIGHUP reads the settings again; time passes after all other events of a cycle, with what the links have granted.

--- a/bronzewinchd/platform.go
+++ b/bronzewinchd/platform.go
@@ -42,6 +42,9 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
 	container := dig.New()
 	for _, f := range []any{
 		func() platform.Settings { return settings },
@@ -57,7 +60,7 @@
 			return err
 		}
 	}
-	err = container.Invoke(func(n platformNode) error { return n.run(ctx) })
+	err = container.Invoke(func(n platformNode) error { return n.run(ctx, reload) })
 	return dig.RootCause(err)
 }
 
@@ -77,11 +80,30 @@
 		Server: server, Timer: clock})
 }
 
+// awaitStop returns when the node is told to stop. On SIGHUP it reads the
+// settings file again; a file with a mistake leaves the earlier one in force.
+func (n platformNode) awaitStop(ctx context.Context, reload <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-reload:
+		}
+		s, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
+		if err != nil {
+			klog.ErrorS(err, "settings refused; the earlier ones stay in force", "event", "reload", "node", n.Settings.Node)
+			continue
+		}
+		n.Gate.Reseed(s.Seeds)
+		klog.InfoS("settings read again", "event", "reload", "node", s.Node, "seeds", s.Seeds)
+	}
+}
+
 // lingerTime is how long a stopping node still serves, so that the platform
 // has noticed that it is not ready any more.
 const lingerTime = 2500 * time.Millisecond
 
-func (n platformNode) run(ctx context.Context) error {
+func (n platformNode) run(ctx context.Context, reload <-chan os.Signal) error {
 	listener, err := net.Listen("tcp", n.Settings.Peers)
 	if err != nil {
 		return errors.Wrap(err, "listen for other nodes")
@@ -92,7 +114,7 @@
 		return errors.Wrap(err, "listen for clients")
 	}
 	klog.InfoS("node started", "event", "start", "node", n.Settings.Node, "zone", n.Settings.Zone, "version", version)
-	<-ctx.Done()
+	n.awaitStop(ctx, reload)
 	klog.InfoS("node stops", "event", "stop", "node", n.Settings.Node)
 	n.Gate.Leave()
 	n.Tenure.Close()
--- a/lib/desk/cycle.go
+++ b/lib/desk/cycle.go
@@ -39,9 +39,24 @@
 	heard   []*link
 }
 
+// tickEvent only wakes the cycle, which lets time pass in the roster after all
+// other events.
 type tickEvent struct{}
 
-func (tickEvent) apply(s *session, now time.Time, _ *batch) { s.roster.Tick(now) }
+func (tickEvent) apply(*session, time.Time, *batch) {}
+
+// pass lets time pass in the roster. It takes over what the links have granted
+// first: reports may still wait, and a run must not be given up while a call
+// that extends its lease is on its way.
+func (s *session) pass(now time.Time) {
+	s.links.Range(func(name id.Worker, l *link) bool {
+		if sent, ok := l.granted(); ok {
+			s.roster.Granted(name, sent)
+		}
+		return true
+	})
+	s.roster.Tick(now)
+}
 
 type callEvent struct {
 	call
@@ -93,6 +108,7 @@
 		for _, e := range events {
 			e.apply(s, now, b)
 		}
+		s.pass(now)
 		s.roster.Plan(now)
 		changes := s.roster.Take()
 		if err := s.store(ctx, changes); err != nil {
--- a/lib/desk/link.go
+++ b/lib/desk/link.go
@@ -72,6 +72,7 @@
 	clockAt  time.Time
 	trusted  bool // the last call was answered
 	busy     bool
+	grant    time.Time   // when the last call that extends the lease was sent
 	acked    task.EndSeq // stored by a cycle
 	told     task.EndSeq // acknowledged to the worker
 	reported task.EndSeq // highest end in the last report
@@ -139,6 +140,13 @@
 	l.signal()
 }
 
+// granted returns when the last call that extends the lease was sent.
+func (l *link) granted() (time.Time, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.grant, !l.grant.IsZero()
+}
+
 // until is the worker's clock in HoldMax from now, or zero when its clock is
 // not known.
 func (l *link) until(now time.Time) task.ClockMillis {
@@ -200,6 +208,9 @@
 	if l.trusted {
 		h.Until = l.until(now)
 	}
+	if h.Until > 0 {
+		l.grant = now
+	}
 	if quick || !l.trusted || l.acked < l.reported {
 		h.Wait = 0
 	}
@@ -208,7 +219,7 @@
 	defer cancel()
 	report, err := l.session.desk.config.Workers.Hold(call, target, h)
 	if err != nil {
-		l.failed(ctx, target, h, now, err)
+		l.failed(ctx, target, err)
 		return false
 	}
 	l.mu.Lock()
@@ -222,7 +233,7 @@
 		l.reported = max(l.reported, report.Ends[n-1].Seq)
 	}
 	l.mu.Unlock()
-	if err := l.session.events.Put(&reportEvent{link: l, sent: now, granted: h.Until > 0, report: report}); err != nil && ctx.Err() == nil {
+	if err := l.session.events.Put(&reportEvent{link: l, sent: now, report: report}); err != nil && ctx.Err() == nil {
 		klog.InfoS("report dropped; the next one repeats it", "event", "report", "worker", l.name, "cause", err)
 	}
 	return true
@@ -230,7 +241,7 @@
 
 // failed notes an unanswered call. The call may still extend the lease, so
 // later calls to the worker grant nothing until one is answered.
-func (l *link) failed(ctx context.Context, target Target, h Hold, sent time.Time, err error) {
+func (l *link) failed(ctx context.Context, target Target, err error) {
 	if ctx.Err() != nil {
 		return
 	}
@@ -241,27 +252,16 @@
 	if was {
 		klog.InfoS("worker does not answer", "event", "worker", "worker", target.Worker, "incarnation", target.Incarnation, "cause", err)
 	}
-	if h.Until > 0 {
-		_ = l.session.events.Put(&silentEvent{worker: l.name, sent: sent})
-	}
-}
-
-type silentEvent struct {
-	worker id.Worker
-	sent   time.Time
 }
 
-func (e *silentEvent) apply(s *session, _ time.Time, _ *batch) { s.roster.Granted(e.worker, e.sent) }
-
 type reportEvent struct {
-	link    *link
-	sent    time.Time
-	granted bool
-	report  task.Report
+	link   *link
+	sent   time.Time
+	report task.Report
 }
 
 func (e *reportEvent) apply(s *session, now time.Time, b *batch) {
-	s.roster.Heard(now, e.sent, e.granted, e.report)
+	s.roster.Heard(now, e.sent, e.report)
 	b.heard = append(b.heard, e.link)
 }
 
@@ -281,6 +281,9 @@
 		now := l.session.desk.config.Timer.Now()
 		l.mu.Lock()
 		target, until := l.target, l.until(now)
+		if until > 0 && o.Kind == roster.Start {
+			l.grant = now
+		}
 		l.mu.Unlock()
 		if !l.session.term.Valid() || now.After(o.OrderTime()) || target.Incarnation != o.Incarnation || until == 0 {
 			break
--- a/lib/gate/gate.go
+++ b/lib/gate/gate.go
@@ -86,6 +86,7 @@
 	leaving atomic.Bool
 
 	mu    sync.Mutex
+	seeds []string
 	ready time.Time            // when the owner last said that it serves
 	peers map[string]time.Time // addresses of other nodes, and when they were last told of
 }
@@ -94,7 +95,7 @@
 // owner.
 func New(c Config) *Gate {
 	ctx, cancel := context.WithCancel(context.Background())
-	g := &Gate{config: c, stop: cancel, peers: make(map[string]time.Time)}
+	g := &Gate{config: c, stop: cancel, seeds: c.Seeds, peers: make(map[string]time.Time)}
 	peer.Handle(c.Server, callMethod, func(ctx context.Context, req desk.Request) (desk.Reply, error) {
 		return c.Desk.Handle(ctx, req), nil
 	})
@@ -117,6 +118,13 @@
 // Leave makes the node say that it is not ready, before it stops.
 func (g *Gate) Leave() { g.leaving.Store(true) }
 
+// Reseed replaces the addresses of nodes that may know the owner.
+func (g *Gate) Reseed(seeds []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.seeds = seeds
+}
+
 // Close ends the contact with other nodes.
 func (g *Gate) Close() {
 	g.stop()
@@ -216,7 +224,10 @@
 }
 
 func (g *Gate) askOthers(ctx context.Context, owner tenure.Owner) {
-	addresses := append(g.known(g.config.Timer.Now()), g.config.Seeds...)
+	addresses := g.known(g.config.Timer.Now())
+	g.mu.Lock()
+	addresses = append(addresses, g.seeds...)
+	g.mu.Unlock()
 	var wg sync.WaitGroup
 	for _, a := range addresses {
 		if a == owner.Address || a == g.config.Address {
--- a/lib/roster/worker.go
+++ b/lib/roster/worker.go
@@ -127,17 +127,14 @@
 }
 
 // Heard takes over a worker's report on its runs. The report answers a call
-// that was sent at sent and granted a lease if granted is true.
-func (r *Roster) Heard(now, sent time.Time, granted bool, rep task.Report) {
+// that was sent at sent.
+func (r *Roster) Heard(now, sent time.Time, rep task.Report) {
 	w := r.worker(rep.Worker)
 	if rep.Incarnation < w.Incarnation {
 		return
 	}
 	r.reborn(now, w, rep.Incarnation)
 	w.met = true
-	if lapse := r.config.Lapse(sent); granted && lapse.After(w.lapse) {
-		w.lapse = lapse
-	}
 	if rep.Draining && !w.Draining {
 		w.Draining = true
 		r.note(Note{Event: "workerDraining", Worker: w.ID, Reason: "told by the worker", Age: rep.Remaining})
@@ -158,8 +155,8 @@
 	}
 }
 
-// Granted notes that a lease may have been granted by a call that was sent at
-// sent and not answered.
+// Granted notes that a call that was sent at sent may have extended the lease
+// of a worker.
 func (r *Roster) Granted(name id.Worker, sent time.Time) {
 	w, ok := r.workers[name]
 	if lapse := r.config.Lapse(sent); ok && lapse.After(w.lapse) {
--- a/lib/tenure/tenure.go
+++ b/lib/tenure/tenure.go
@@ -52,6 +52,10 @@
 // Store is the part of the key-value service that ownership needs.
 type Store interface {
 	Get(ctx context.Context, key string) (kv.Item, error)
+	// ListAll returns the items under a prefix, and a version from which Watch
+	// finds every later change. The version of an item would not do: the service
+	// may no longer have the history after it.
+	ListAll(ctx context.Context, prefix string) ([]kv.Item, kv.Version, error)
 	Watch(ctx context.Context, prefix string, from kv.Version, wait time.Duration) ([]kv.Event, kv.Version, error)
 	Grant(ctx context.Context, ttl time.Duration) (kv.LeaseID, error)
 	KeepAlive(ctx context.Context, lease kv.LeaseID) error
@@ -210,24 +214,27 @@
 	return t.config.Timer.Now().Before(t.rest)
 }
 
-// read returns whether there is an owner, and the version of its key.
+// read returns whether there is an owner, and the version to watch from.
 func (t *Tenure) read(ctx context.Context) (kv.Version, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	item, err := t.config.Store.Get(ctx, OwnerKey)
-	if problem.Is(err, problem.NotFound) {
-		t.set(Owner{Fence: t.Owner().Fence})
-		return 0, false, nil
-	}
+	items, version, err := t.config.Store.ListAll(ctx, OwnerKey)
 	if err != nil {
 		return 0, false, err
 	}
-	var o Owner
-	if err := cbor.Unmarshal(item.Value, &o); err != nil {
-		return 0, false, errors.Wrap(err, "owner key")
+	for _, item := range items {
+		if item.Key != OwnerKey {
+			continue
+		}
+		var o Owner
+		if err := cbor.Unmarshal(item.Value, &o); err != nil {
+			return 0, false, errors.Wrap(err, "owner key")
+		}
+		t.set(o)
+		return version, true, nil
 	}
-	t.set(o)
-	return item.Version, true, nil
+	t.set(Owner{Fence: t.Owner().Fence})
+	return 0, false, nil
 }
 
 // watchWait bounds the time for which a watch that hears nothing is trusted.
