Run near data, claim room for the first priority, put late jobs last

Change: a gang stays within a rack, by stopping lower work there, until the bound on guaranteed starts is near; jobs of the first priority may stop lower work worth no more than their own; jobs that can't meet their objective any more go after those that can.

--- a/lib/roster/claim.go
+++ b/lib/roster/claim.go
@@ -8,21 +8,17 @@
 	"bronzewinch.dev/lib/unit"
 )
 
-// claim makes room for a guaranteed group by stopping work outside of
-// guarantees, with the least work lost. It returns the room of each task, or
-// nil when even that leaves too little.
-func (p *pass) claim(g *group) []*room {
-	all := p.candidates(g)
+// claim makes room for a group in one of several sets of rooms by stopping
+// other work, with the least work lost. It returns the room of each task, or
+// nil when that leaves too little or costs too much.
+func (p *pass) claim(g *group, sets [][]*room) []*room {
 	var best *eviction
-	for _, near := range p.near(g, all) {
-		if e := p.evict(g, near); e != nil && (best == nil || e.cost < best.cost) {
+	for _, set := range sets {
+		if e := p.evict(g, set); e != nil && (best == nil || e.cost < best.cost) {
 			best = e
 		}
 	}
-	if best == nil {
-		best = p.evict(g, all)
-	}
-	if best == nil {
+	if best == nil || !p.protected[g.job] && best.cost > p.worth(g) {
 		return nil
 	}
 	for _, victim := range best.victims {
@@ -33,7 +29,7 @@
 				}
 			}
 		}
-		p.r.stopGroup(p.now, victim, "account "+string(g.job.Account)+" claims its guarantee for job "+string(g.job.ID))
+		p.r.stopGroup(p.now, victim, "job "+string(g.job.ID)+" of account "+string(g.job.Account)+" claims the room")
 	}
 	return best.rooms
 }
@@ -99,7 +95,8 @@
 	var candidates []*group
 	for _, mem := range m.members {
 		v := mem.group
-		if mem.stop || v.stopping || v.done || p.protected[v.job] || v.spec().Service || slices.Contains(chosen, v) {
+		lower := p.protected[g.job] || v.job.queue.Priority > g.job.queue.Priority
+		if !lower || mem.stop || v.stopping || v.done || p.protected[v.job] || v.spec().Service || slices.Contains(chosen, v) {
 			continue
 		}
 		if gain[v] == 0 {
@@ -122,6 +119,13 @@
 	return victims, cost, demand.Fits(later)
 }
 
+// worth is the most work in core-seconds that may be lost for a group that is
+// not guaranteed: as much as it brings itself.
+func (p *pass) worth(g *group) float64 {
+	s := g.spec()
+	return cores(s.Demand) * float64(g.tasks) * p.r.expected(g.job, *s).Seconds()
+}
+
 // acceleratorCores is the number of cores that an accelerator counts for, from
 // the price list of the platform.
 const acceleratorCores = 8
@@ -137,6 +141,10 @@
 	if s.Checkpoints {
 		ran = min(ran, p.r.config.Restore)
 	}
-	cores := float64(s.Demand.Cores)/float64(unit.Core) + acceleratorCores*float64(s.Demand.Accelerators)
-	return cores * float64(len(g.members)) * (ran + startTime).Seconds() / float64(1+g.job.queue.Priority)
+	return cores(s.Demand) * float64(len(g.members)) * (ran + startTime).Seconds() / float64(1+g.job.queue.Priority)
+}
+
+// cores is a demand in cores, with accelerators at their price.
+func cores(d unit.Resources) float64 {
+	return float64(d.Cores)/float64(unit.Core) + acceleratorCores*float64(d.Accelerators)
 }
--- a/lib/roster/plan.go
+++ b/lib/roster/plan.go
@@ -71,23 +71,29 @@
 }
 
 // order returns the jobs in the order in which they may take room: guaranteed
-// jobs, then by priority, then by the time at which they are due.
+// jobs in order of acceptance, then by priority. Within a priority, jobs that
+// can still meet their objective go first, by the time at which they are due:
+// under overload a job that is late anyway loses less by waiting.
 func (p *pass) order() []*job {
 	type ranked struct {
 		j        *job
 		class    int
+		late     int // 1 when the objective can't be met any more
 		deadline time.Time
 	}
 	var all []ranked
 	for _, j := range p.r.active {
 		k := ranked{j: j, class: 1 + int(j.queue.Priority), deadline: p.r.deadline(j)}
-		if p.protected[j] {
-			k.class = 0
+		switch {
+		case p.protected[j]:
+			k.class, k.deadline = 0, j.Accepted
+		case p.late(j):
+			k.late = 1
 		}
 		all = append(all, k)
 	}
 	slices.SortStableFunc(all, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(a.class, b.class), a.deadline.Compare(b.deadline))
+		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.late, b.late), a.deadline.Compare(b.deadline))
 	})
 	jobs := make([]*job, len(all))
 	for i, k := range all {
@@ -143,21 +149,43 @@
 	}
 }
 
-// placeGroup starts a group if it fits, and otherwise claims room for it if
-// its job is guaranteed.
+// placeGroup starts a group if it fits. Otherwise it claims room for a group
+// that may, and keeps it for the group until the runs there have ended.
 func (p *pass) placeGroup(g *group) bool {
 	now := func(m *room) unit.Resources { return minimum(m.free, m.later) }
-	if rooms := p.fit(g, now); rooms != nil {
-		p.start(g, rooms)
-		return true
+	later := func(m *room) unit.Resources { return m.later }
+	sets, remote := p.sets(g)
+	for _, set := range sets {
+		if rooms := pack(g, set, p, now); rooms != nil {
+			p.start(g, rooms)
+			return true
+		}
+	}
+	if p.mayClaim(g) {
+		for _, set := range sets {
+			if p.keep(g, pack(g, set, p, later)) {
+				return false
+			}
+		}
+		if p.keep(g, p.claim(g, sets)) {
+			return false
+		}
 	}
-	if !p.protected[g.job] {
+	if remote == nil {
 		return false
 	}
-	rooms := p.fit(g, func(m *room) unit.Resources { return m.later })
-	if rooms == nil {
-		rooms = p.claim(g)
+	if rooms := pack(g, remote, p, now); rooms != nil {
+		p.start(g, rooms)
+		return true
+	}
+	if p.protected[g.job] && !p.keep(g, pack(g, remote, p, later)) {
+		p.keep(g, p.claim(g, [][]*room{remote}))
 	}
+	return false
+}
+
+// keep takes rooms out of the rest of the pass.
+func (p *pass) keep(g *group, rooms []*room) bool {
 	for _, m := range rooms {
 		m.free = m.free.Minus(g.spec().Demand)
 		m.later = m.later.Minus(g.spec().Demand)
@@ -165,6 +193,18 @@
 	return rooms != nil
 }
 
+// mayClaim reports whether other work may be stopped for a group: always for
+// guaranteed jobs, and for jobs of the first priority that can still meet
+// their objective.
+func (p *pass) mayClaim(g *group) bool {
+	return p.protected[g.job] || g.job.queue.Priority == 0 && !p.late(g.job)
+}
+
+// late reports whether a job can't meet its objective any more.
+func (p *pass) late(j *job) bool {
+	return p.now.Add(p.r.chain(j)).After(p.r.deadline(j))
+}
+
 func (p *pass) start(g *group, rooms []*room) {
 	s := g.spec()
 	g.run++
@@ -224,21 +264,19 @@
 	return max(0, most)
 }
 
-// fit returns a room for each task of a group, or nil when there are none.
-// Tasks stay near their data and gangs within a rack as long as waiting for
-// that costs less than running remote.
-func (p *pass) fit(g *group, avail func(*room) unit.Resources) []*room {
-	s := g.spec()
+// sets returns the sets of rooms in which a group runs at full speed, best
+// first, and the rooms for running remote if that is allowed now.
+func (p *pass) sets(g *group) (sets [][]*room, remote []*room) {
 	all := p.candidates(g)
-	for _, near := range p.near(g, all) {
-		if rooms := pack(g, near, p, avail); rooms != nil {
-			return rooms
-		}
+	s := g.spec()
+	if s.DataRack == "" && (!s.SameRack || g.tasks == 1) {
+		return [][]*room{all}, nil
 	}
-	if (s.DataRack != "" || s.SameRack && g.tasks > 1) && !p.remoteAllowed(g, all) {
-		return nil
+	sets = p.near(g, all)
+	if p.remoteAllowed(g, sets) {
+		remote = all
 	}
-	return pack(g, all, p, avail)
+	return sets, remote
 }
 
 // candidates returns the rooms that a group may use, without workers on which
@@ -261,13 +299,10 @@
 	return good
 }
 
-// near returns the sets of rooms in which a group runs at full speed, or none
-// when every room is as good.
+// near returns the rooms of each rack in which a group runs at full speed, the
+// fullest rack first.
 func (p *pass) near(g *group, all []*room) [][]*room {
 	s := g.spec()
-	if s.DataRack == "" && (!s.SameRack || g.tasks == 1) {
-		return nil
-	}
 	racks := make(map[id.Rack][]*room)
 	var names []id.Rack
 	for _, m := range all {
@@ -293,22 +328,28 @@
 	return sets
 }
 
+// urgentTime is the part of the bound on a guaranteed start that is left for
+// stopping other work and starting, when a rack has not come free until then.
+const urgentTime = time.Second
+
 // remoteAllowed reports whether a group may run away from its data or over
-// several racks: at once when no rack could ever hold it or when it is
-// guaranteed, and else when it has waited as long as running remote costs.
-func (p *pass) remoteAllowed(g *group, all []*room) bool {
-	if p.protected[g.job] {
+// several racks: at once when no rack could ever hold it, for guaranteed work
+// when its bound is near, and else when it has waited as long as running
+// remote costs.
+func (p *pass) remoteAllowed(g *group, sets [][]*room) bool {
+	waited := p.now.Sub(g.ready)
+	if p.protected[g.job] && waited > p.r.config.Reclaim-p.r.config.StopTime-urgentTime {
 		return true
 	}
 	capacity := func(m *room) unit.Resources { return m.Capacity }
 	possible := false
-	for _, near := range p.near(g, all) {
+	for _, near := range sets {
 		if pack(g, near, p, capacity) != nil {
 			possible = true
 		}
 	}
 	cost := time.Duration((p.r.config.RemoteFactor - 1) * float64(p.r.expected(g.job, *g.spec())))
-	return !possible || p.now.Sub(g.ready) > cost
+	return !possible || waited > cost
 }
 
 // pack puts the tasks of a group on the rooms with the least free
--- a/lib/roster/roster.go
+++ b/lib/roster/roster.go
@@ -21,6 +21,10 @@
 	RemoteFactor float64
 	// Keep is how long an ended job stays known.
 	Keep time.Duration
+	// Reclaim bounds the time from the acceptance of a guaranteed job to its start.
+	Reclaim time.Duration
+	// StopTime is the longest time that a worker takes to stop a run.
+	StopTime time.Duration
 	// Restore is the time that a start from a checkpoint takes beforehand.
 	Restore time.Duration
 }
