Send calls again to the next owner, and shorten the owner's lease

A job is known by its id, so the call may be repeated.

Change: when the owner misses a greeting, calls in progress wait for the next owner and are sent to it, and new ones are refused at once. The owner's lease is 1.5 s in place of 2.5 s, as a change of owner takes a tenth of a second. Callers are sent away for 2 s once the store has been out of reach for 2 s.

--- a/lib/desk/desk.go
+++ b/lib/desk/desk.go
@@ -40,8 +40,13 @@
 	// history hears nothing until its wait ends. A worker that leaves must get
 	// no starts two seconds after the store knows it.
 	workersWait = time.Second
-	// retryAfter is the time in which a new owner usually is at work.
+	// retryAfter is the time in which a short disturbance of the store is over.
 	retryAfter = time.Second
+	// outageAfter sends callers away for longer once the store has been out of
+	// reach for outageTime. Callers come back four times, so they bridge an
+	// outage of seven seconds.
+	outageAfter = 2 * time.Second
+	outageTime  = 2 * time.Second
 	// isolationTime is how long an owner goes on without hearing of any other
 	// node when there were some. A node that is cut off from the others must
 	// not keep the scheduler from them.
@@ -131,7 +136,13 @@
 func (d *Desk) Handle(ctx context.Context, req Request) Reply {
 	refused := Reply{Outcome: Refused, Detail: "no owner serves at present; try again", RetryAfter: retryAfter}
 	s := d.session.Load()
-	if s == nil || !s.fresh() {
+	if s == nil {
+		return refused
+	}
+	if age := s.age(); age > outageTime {
+		refused.RetryAfter = outageAfter
+	}
+	if !s.fresh() {
 		return refused
 	}
 	c, err := d.stages.Process(ctx, call{Request: req, dir: s.directory.Load()})
@@ -187,9 +198,12 @@
 
 // fresh reports whether calls may be decided.
 func (s *session) fresh() bool {
-	return s.term.Valid() && timer.Boot()-time.Duration(s.confirmed.Load()) < freshTime
+	return s.term.Valid() && s.age() < freshTime
 }
 
+// age is the time since the configuration was last known to be the newest.
+func (s *session) age() time.Duration { return timer.Boot() - time.Duration(s.confirmed.Load()) }
+
 func (s *session) waiting(queue task.QueueName) int {
 	n, _ := s.queues.Get(queue)
 	return n
--- a/lib/gate/gate.go
+++ b/lib/gate/gate.go
@@ -87,8 +87,12 @@
 
 	mu    sync.Mutex
 	seeds []string
-	ready time.Time            // when the owner last said that it serves
-	peers map[string]time.Time // addresses of other nodes, and when they were last told of
+	// contacted is the owner that contactCtx is about.
+	contacted  tenure.Owner
+	contactCtx context.Context
+	contactEnd context.CancelFunc
+	ready      time.Time            // when the owner last said that it serves
+	peers      map[string]time.Time // addresses of other nodes, and when they were last told of
 }
 
 // New returns a gate that answers other nodes and keeps in touch with the
@@ -138,35 +142,96 @@
 	return !g.leaving.Load() && g.config.Timer.Now().Sub(g.ready) < readyTime
 }
 
-// Handle has a call decided on by the owner.
+// Handle has a call decided on by the owner. Calls may be repeated, as a job
+// is known by its id: when the owner falls silent, a call that was sent to it
+// is sent to the next owner, and one that was not is refused at once.
 func (g *Gate) Handle(ctx context.Context, req desk.Request) desk.Reply {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	refused := desk.Reply{Outcome: desk.Refused, Detail: "the owner is out of reach; try again", RetryAfter: retryAfter}
-	for range 2 {
-		owner := g.config.Owners.Owner()
+	sent := false
+	for ctx.Err() == nil {
+		contact, owner := g.contact()
 		if owner.Node == g.config.Node {
-			return g.config.Desk.Handle(ctx, req)
+			reply := g.config.Desk.Handle(ctx, req)
+			if !sent || reply.Outcome != desk.Refused {
+				return reply
+			}
+		} else if contact != nil {
+			reply, err := g.relay(ctx, contact, owner, req)
+			if err == nil && (!sent || reply.Outcome != desk.Refused) {
+				return reply
+			}
+			sent = sent || !problem.Is(err, problem.Unavailable)
 		}
-		if owner.Address == "" {
+		if !sent {
 			g.config.Owners.Check()
-			return refused
+			return desk.Reply{Outcome: desk.Refused, Detail: "the owner is out of reach; try again", RetryAfter: retryAfter}
 		}
-		reply, err := peer.Call[desk.Request, desk.Reply](ctx, g.config.Pool, owner.Address, callMethod, req)
-		if err == nil {
-			return reply
+		if timer.Sleep(ctx, g.config.Timer, retryPause) != nil {
+			break
 		}
+	}
+	return desk.Reply{Outcome: desk.Unknown, Detail: "send the call again with the same id; it may have been carried out"}
+}
+
+// retryPause is the pause before a call is sent to the next owner.
+const retryPause = 100 * time.Millisecond
+
+// relay sends a call to the owner, until contact ends.
+func (g *Gate) relay(ctx, contact context.Context, owner tenure.Owner, req desk.Request) (desk.Reply, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(contact, cancel)()
+	reply, err := peer.Call[desk.Request, desk.Reply](ctx, g.config.Pool, owner.Address, callMethod, req)
+	if err != nil {
 		klog.InfoS("call not answered by the owner", "event", "relay", "verb", req.Verb, "path", req.Path, "owner", owner.Node,
 			"fence", owner.Fence, "cause", err)
 		g.config.Owners.Check()
-		if !problem.Is(err, problem.Unavailable) && req.Verb == desk.Submit {
-			return desk.Reply{Outcome: desk.Unknown, Detail: "send the job again with the same id; it may have been accepted"}
-		}
-		if ctx.Err() != nil || g.config.Owners.Owner() == owner {
-			break
-		}
 	}
-	return refused
+	return reply, err
+}
+
+// contact returns the owner, and a context that ends when the owner falls
+// silent. The context is nil when the owner is not known to answer.
+func (g *Gate) contact() (context.Context, tenure.Owner) {
+	owner := g.config.Owners.Owner()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if owner.Address == "" {
+		return nil, owner
+	}
+	if owner.Fence != g.contacted.Fence {
+		g.renewContact(owner)
+	}
+	return g.contactCtx, owner
+}
+
+// renewContact begins a new contact. The lock is held.
+func (g *Gate) renewContact(owner tenure.Owner) {
+	if g.contactEnd != nil {
+		g.contactEnd()
+	}
+	g.contacted = owner
+	g.contactCtx, g.contactEnd = context.WithCancel(context.Background())
+}
+
+// silent ends the contact with an owner that does not answer.
+func (g *Gate) silent(owner tenure.Owner) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.contacted.Fence == owner.Fence && g.contactEnd != nil {
+		g.contactEnd()
+		g.contactCtx, g.contactEnd = nil, nil
+	}
+}
+
+// answered begins a contact with an owner that answers again.
+func (g *Gate) answered(owner tenure.Owner) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.contactCtx == nil || g.contacted.Fence != owner.Fence {
+		g.renewContact(owner)
+	}
 }
 
 func (g *Gate) answerHello(_ context.Context, h Hello) (HelloReply, error) {
@@ -207,6 +272,7 @@
 	}
 	if owner.Address != "" {
 		if r, err := g.hello(ctx, owner.Address); err == nil {
+			g.answered(owner)
 			if r.Serving {
 				g.served()
 			}
@@ -218,6 +284,7 @@
 		if ctx.Err() == nil {
 			klog.InfoS("owner does not answer", "event", "owner", "owner", owner.Node, "fence", owner.Fence)
 		}
+		g.silent(owner)
 		g.config.Owners.Check()
 	}
 	g.askOthers(ctx, owner)
--- a/lib/tenure/tenure.go
+++ b/lib/tenure/tenure.go
@@ -30,10 +30,11 @@
 
 const (
 	// leaseTime bounds the time without an owner after one has failed. It is
-	// several times the answer time of a slow store.
-	leaseTime = 2500 * time.Millisecond
+	// several times the answer time of a slow store. A change of owner without
+	// need costs a tenth of a second, so it is short.
+	leaseTime = 1500 * time.Millisecond
 	// renewPeriod leaves time for two more attempts when a renewal is lost.
-	renewPeriod = 800 * time.Millisecond
+	renewPeriod = 400 * time.Millisecond
 	callTimeout = 700 * time.Millisecond
 	// validSlack covers the difference between this node's clock and the
 	// service's over one lease.
