Acknowledge only ends that are stored

A cycle that had stored one report acknowledged the highest end that the link had seen, which may belong to a later report that still waits. The owner lost the store then, and the next owner knew nothing of the end. Ruled out: a lapsed lease (the run ended as done) and a fence that did not hold (one owner at a time in the log).

Change: a cycle acknowledges the ends of the reports that it has stored. Progress of a run is dated by the call that showed it. Tests of the desk with a store that fails; the one for this fault fails on the earlier code.

--- a/lib/desk/cycle.go
+++ b/lib/desk/cycle.go
@@ -36,7 +36,7 @@
 // batch collects what one cycle has to do after its changes are stored.
 type batch struct {
 	replies []func()
-	heard   []*link
+	heard   []*reportEvent
 }
 
 // tickEvent only wakes the cycle, which lets time pass in the roster after all
@@ -236,8 +236,8 @@
 	for _, reply := range b.replies {
 		reply()
 	}
-	for _, l := range b.heard {
-		l.release(s.roster.Busy(l.name))
+	for _, e := range b.heard {
+		e.link.release(e, s.roster.Busy(e.link.name))
 	}
 	for _, o := range c.Orders {
 		if l, ok := s.links.Get(o.Worker); ok {
--- /dev/null
+++ b/lib/desk/desk_test.go
@@ -0,0 +1,137 @@
+package desk_test
+
+import (
+	"testing"
+	"time"
+
+	"bronzewinch.dev/lib/desk"
+	"bronzewinch.dev/lib/task"
+	"bronzewinch.dev/lib/tenure"
+
+	"github.com/matryer/is"
+)
+
+const (
+	jobA = "00000000000000aa"
+	jobB = "00000000000000bb"
+)
+
+// TestJobRunsOnce guards against a job that is accepted and not run, run
+// twice, or not shown as completed.
+func TestJobRunsOnce(t *testing.T) {
+	is := is.New(t)
+	d := serve(t, newFakeStore(), newFakeWorkers())
+	is.Equal(d.submit(jobA).Outcome, desk.OK)
+	is.Equal(d.submit(jobA).Outcome, desk.OK) // a repeated submission is the same job
+	d.workers.await(t, "the start", func() bool { return len(d.workers.started) == 1 })
+	d.workers.finish("worker")
+	d.workers.await(t, "the acknowledgement", func() bool { return d.workers.acked == 1 })
+	is.Equal(d.look(jobA).State, task.Completed)
+	is.Equal(len(d.workers.started), 1)
+}
+
+// TestCallsAreChecked guards against calls that are let in without a key, to
+// no queue, or with an id that can't be stored.
+func TestCallsAreChecked(t *testing.T) {
+	d := serve(t, newFakeStore(), newFakeWorkers())
+	for _, test := range []struct {
+		name string
+		req  desk.Request
+		want desk.Outcome
+	}{
+		{"unknown key", desk.Request{Verb: desk.Look, Host: testHost, Path: "/q/" + jobA, Key: "x"}, desk.Unauthorized},
+		{"unknown host", desk.Request{Verb: desk.Look, Host: "x", Path: "/q/" + jobA, Key: testKey}, desk.NoQueue},
+		{"unknown job", desk.Request{Verb: desk.Look, Host: testHost, Path: "/q/" + jobA, Key: testKey}, desk.NoJob},
+		{"cancel of an unknown job", desk.Request{Verb: desk.Cancel, Host: testHost, Path: "/q/" + jobA, Key: testKey}, desk.NoJob},
+		{"short id", desk.Request{Verb: desk.Submit, Host: testHost, Path: "/q/1", Key: testKey, Job: &task.Job{}}, desk.Malformed},
+		{"no steps", desk.Request{Verb: desk.Submit, Host: testHost, Path: "/q/" + jobA, Key: testKey, Job: &task.Job{}}, desk.Malformed},
+		{"queue", desk.Request{Verb: desk.Look, Host: testHost, Path: "/q/", Key: testKey}, desk.OK},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is.New(t).Equal(d.Handle(t.Context(), test.req).Outcome, test.want)
+		})
+	}
+}
+
+// TestLostAnswerOfStore guards against a job that is refused or stored twice
+// because the answer to its transaction was lost.
+func TestLostAnswerOfStore(t *testing.T) {
+	is := is.New(t)
+	d := serve(t, newFakeStore(), newFakeWorkers())
+	d.store.set(false, true)
+	is.Equal(d.submit(jobA).Outcome, desk.OK)
+	d.workers.await(t, "the start", func() bool { return len(d.workers.started) == 1 })
+	is.Equal(d.store.commits, 2) // the campaign and the job
+}
+
+// TestEndIsStoredBeforeItIsAcknowledged guards against an end that a worker
+// forgets before it is stored: the next owner would run the task again. The
+// store takes the first end just after the worker has reported the second.
+func TestEndIsStoredBeforeItIsAcknowledged(t *testing.T) {
+	is := is.New(t)
+	d := serve(t, newFakeStore(), newFakeWorkers())
+	is.Equal(d.submit(jobA).Outcome, desk.OK)
+	is.Equal(d.submit(jobB).Outcome, desk.OK)
+	d.workers.await(t, "the starts", func() bool { return len(d.workers.started) == 2 })
+	d.store.set(true, false)
+	d.workers.finishJob("worker", jobA)
+	time.Sleep(500 * time.Millisecond) // the cycle waits for the store with the first end
+	d.workers.finishJob("worker", jobB)
+	time.Sleep(2 * time.Second) // the link has asked again
+	d.workers.mu.Lock()
+	is.Equal(d.workers.acked, task.EndSeq(0))
+	d.workers.mu.Unlock()
+	d.store.mu.Lock()
+	d.store.down, d.store.once = false, true
+	d.store.mu.Unlock()
+	d.workers.await(t, "the first acknowledgement", func() bool { return d.workers.acked >= 1 })
+	d.workers.mu.Lock()
+	is.Equal(d.workers.acked, task.EndSeq(1))
+	d.workers.mu.Unlock()
+	d.store.set(false, false)
+	d.workers.await(t, "the second acknowledgement", func() bool { return d.workers.acked == 2 })
+	is.Equal(d.look(jobB).State, task.Completed)
+}
+
+// TestOutageOfStoreKeepsRuns guards against runs that are given up because
+// their reports waited for the store while their lease was extended.
+func TestOutageOfStoreKeepsRuns(t *testing.T) {
+	if testing.Short() {
+		t.Skip("takes nine seconds")
+	}
+	is := is.New(t)
+	d := serve(t, newFakeStore(), newFakeWorkers())
+	is.Equal(d.submit(jobA).Outcome, desk.OK)
+	d.workers.await(t, "the start", func() bool { return len(d.workers.started) == 1 })
+	d.store.set(true, false)
+	go d.submit(jobB) // makes the cycle wait for the store
+	time.Sleep(8 * time.Second)
+	d.store.set(false, false)
+	d.workers.await(t, "the second start", func() bool { return len(d.workers.started) >= 2 })
+	time.Sleep(300 * time.Millisecond)
+	d.workers.mu.Lock()
+	defer d.workers.mu.Unlock()
+	is.Equal(len(d.workers.started), 2) // jobA was not started again
+}
+
+// TestNextOwnerGoesOn guards against work that a new owner starts again, or
+// forgets, after the earlier owner has ended.
+func TestNextOwnerGoesOn(t *testing.T) {
+	is := is.New(t)
+	store, workers := newFakeStore(), newFakeWorkers()
+	first := serve(t, store, workers)
+	is.Equal(first.submit(jobA).Outcome, desk.OK)
+	workers.await(t, "the start", func() bool { return len(workers.started) == 1 })
+	first.tenure.Close()
+	second := serve(t, store, workers)
+	is.Equal(second.look(jobA).State, task.Running)
+	workers.finish("worker")
+	workers.await(t, "the acknowledgement", func() bool { return workers.acked == 1 })
+	is.Equal(second.look(jobA).State, task.Completed)
+	is.Equal(len(workers.started), 1)
+	item, err := store.Get(t.Context(), tenure.CommitKey)
+	is.NoErr(err)
+	mark, err := tenure.DecodeMark(item.Value)
+	is.NoErr(err)
+	is.Equal(mark.Fence, task.Fence(2))
+}
--- /dev/null
+++ b/lib/desk/fake_test.go
@@ -0,0 +1,288 @@
+package desk_test
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"bronzewinch.dev/lib/desk"
+	"bronzewinch.dev/lib/id"
+	"bronzewinch.dev/lib/kv"
+	"bronzewinch.dev/lib/problem"
+	"bronzewinch.dev/lib/roster"
+	"bronzewinch.dev/lib/task"
+	"bronzewinch.dev/lib/tenure"
+	"bronzewinch.dev/lib/timer"
+	"bronzewinch.dev/lib/unit"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// fakeStore holds items in memory. While down is true, Commit fails without
+// effect; while mute is true, it takes effect and the answer is lost.
+type fakeStore struct {
+	mu      sync.Mutex
+	items   map[string]kv.Item
+	version kv.Version
+	down    bool
+	mute    bool
+	once    bool // the store goes down again after one transaction
+	commits int
+}
+
+func newFakeStore() *fakeStore { return &fakeStore{items: make(map[string]kv.Item)} }
+
+func (s *fakeStore) set(down, mute bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down, s.mute = down, mute
+}
+
+func (s *fakeStore) Get(_ context.Context, key string) (kv.Item, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i, ok := s.items[key]
+	if !ok {
+		return i, problem.New(problem.NotFound, problem.Detail{Field: key, Remedy: "none"})
+	}
+	return i, nil
+}
+
+func (s *fakeStore) ListAll(_ context.Context, prefix string) ([]kv.Item, kv.Version, error) {
+	items, err := s.List(context.Background(), prefix, "", 0)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return items, s.version, err
+}
+
+func (s *fakeStore) List(_ context.Context, prefix, after string, _ int) ([]kv.Item, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var items []kv.Item
+	for _, key := range slices.Sorted(maps.Keys(s.items)) {
+		if strings.HasPrefix(key, prefix) && key > after {
+			items = append(items, s.items[key])
+		}
+	}
+	return items, nil
+}
+
+func (s *fakeStore) Watch(ctx context.Context, _ string, from kv.Version, wait time.Duration) ([]kv.Event, kv.Version, error) {
+	_ = timer.Sleep(ctx, timer.NewSystem(), wait)
+	return nil, from, ctx.Err()
+}
+
+func (s *fakeStore) Grant(context.Context, time.Duration) (kv.LeaseID, error) { return "1", nil }
+func (s *fakeStore) KeepAlive(context.Context, kv.LeaseID) error              { return nil }
+
+func (s *fakeStore) Revoke(context.Context, kv.LeaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, i := range s.items {
+		if i.Lease != "" {
+			delete(s.items, key)
+		}
+	}
+	return nil
+}
+
+func (s *fakeStore) Commit(_ context.Context, txn kv.Txn) (kv.TxnResult, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lost := problem.New(problem.Unknown, problem.Detail{Field: "store", Remedy: "repeat"})
+	if s.down {
+		return kv.TxnResult{}, lost
+	}
+	var r kv.TxnResult
+	failed := false
+	for _, e := range txn.Expect {
+		r.Present = append(r.Present, s.items[e.Key])
+		failed = failed || s.items[e.Key].Version != e.Version
+	}
+	if failed {
+		return r, nil
+	}
+	s.version++
+	s.commits++
+	s.down, s.once = s.once, false
+	for _, w := range txn.Writes {
+		s.items[w.Key] = kv.Item{Key: w.Key, Value: w.Value, Version: s.version, Lease: w.Lease}
+	}
+	for _, key := range txn.Remove {
+		delete(s.items, key)
+	}
+	if s.mute {
+		s.mute = false
+		return kv.TxnResult{}, lost
+	}
+	return kv.TxnResult{Committed: true, Version: s.version}, nil
+}
+
+// fakeLists has one queue, one account and fixed workers.
+type fakeLists struct{ workers []task.Worker }
+
+const (
+	testKey   = "key"
+	testHost  = "host.example"
+	testQueue = "queue"
+)
+
+func (l fakeLists) ReadConfig(context.Context) (desk.Update, error) {
+	return desk.Update{Version: 1, Config: &desk.Configuration{Number: 1, Version: 1,
+		Routes: []desk.Route{{Host: testHost, Prefix: "/q/", Queue: task.Queue{Name: testQueue, Service: "service",
+			Attempts: 2, Slack: 2, Target: time.Second}}},
+		Accounts: []desk.Account{{Name: "account", Keys: []string{testKey}, Guaranteed: 16}}}}, nil
+}
+
+func (l fakeLists) ReadWorkers(context.Context) (desk.Update, error) {
+	return desk.Update{Version: 1, Workers: l.workers}, nil
+}
+
+func (l fakeLists) NextConfig(ctx context.Context, after kv.Version, wait time.Duration) (desk.Update, error) {
+	return desk.Update{Version: after}, timer.Sleep(ctx, timer.NewSystem(), wait)
+}
+
+func (l fakeLists) NextWorkers(ctx context.Context, after kv.Version, wait time.Duration) (desk.Update, error) {
+	return desk.Update{Version: after}, timer.Sleep(ctx, timer.NewSystem(), wait)
+}
+
+// fakeWorkers runs tasks that end when the test says so.
+type fakeWorkers struct {
+	mu      sync.Mutex
+	changed chan struct{}
+	runs    map[id.Worker][]task.Active
+	ends    map[id.Worker][]task.End
+	seq     task.EndSeq
+	acked   task.EndSeq
+	started []roster.Order
+}
+
+func newFakeWorkers() *fakeWorkers {
+	return &fakeWorkers{changed: make(chan struct{}), runs: make(map[id.Worker][]task.Active),
+		ends: make(map[id.Worker][]task.End)}
+}
+
+func (w *fakeWorkers) notify() {
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// await waits until a condition on the state holds.
+func (w *fakeWorkers) await(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	limit := time.After(10 * time.Second)
+	for {
+		w.mu.Lock()
+		done, changed := ok(), w.changed
+		w.mu.Unlock()
+		if done {
+			return
+		}
+		select {
+		case <-changed:
+		case <-limit:
+			t.Fatalf("timeout: %s", what)
+		}
+	}
+}
+
+func (w *fakeWorkers) Hold(ctx context.Context, t desk.Target, h desk.Hold) (task.Report, error) {
+	w.mu.Lock()
+	w.acked = max(w.acked, h.Acked)
+	w.ends[t.Worker] = slices.DeleteFunc(w.ends[t.Worker], func(e task.End) bool { return e.Seq <= h.Acked })
+	w.notify()
+	if len(w.ends[t.Worker]) == 0 && h.Wait > 0 {
+		changed := w.changed
+		w.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return task.Report{}, ctx.Err()
+		case <-time.After(h.Wait):
+		}
+		w.mu.Lock()
+	}
+	defer w.mu.Unlock()
+	for i := range w.runs[t.Worker] {
+		w.runs[t.Worker][i].Percent++
+	}
+	return task.Report{Worker: t.Worker, Incarnation: t.Incarnation, Clock: 1000,
+		Active: slices.Clone(w.runs[t.Worker]), Ends: slices.Clone(w.ends[t.Worker])}, nil
+}
+
+func (w *fakeWorkers) Order(_ context.Context, t desk.Target, o roster.Order, _ task.Fence, _ task.ClockMillis) (roster.Answer, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	defer w.notify()
+	if o.Kind == roster.Start {
+		w.started = append(w.started, o)
+		w.runs[t.Worker] = append(w.runs[t.Worker], task.Active{Task: o.Task, Run: o.Run})
+		return roster.Accepted, nil
+	}
+	w.end(t.Worker, task.Stopped)
+	return roster.Accepted, nil
+}
+
+// end ends all runs of a worker. The lock is held.
+func (w *fakeWorkers) end(name id.Worker, how task.How) {
+	for _, a := range w.runs[name] {
+		w.seq++
+		w.ends[name] = append(w.ends[name], task.End{Seq: w.seq, Task: a.Task, Run: a.Run, How: how})
+	}
+	w.runs[name] = nil
+	w.notify()
+}
+
+func (w *fakeWorkers) finish(name id.Worker) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.end(name, task.Done)
+}
+
+// finishJob ends the run of one job.
+func (w *fakeWorkers) finishJob(name id.Worker, job id.Job) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	all := w.runs[name]
+	w.runs[name] = slices.DeleteFunc(slices.Clone(all), func(a task.Active) bool { return a.Task.Job != job })
+	w.end(name, task.Done)
+	w.runs[name] = slices.DeleteFunc(all, func(a task.Active) bool { return a.Task.Job == job })
+}
+
+// testDesk is a desk that owns the scheduler.
+type testDesk struct {
+	*desk.Desk
+	store   *fakeStore
+	workers *fakeWorkers
+	tenure  *tenure.Tenure
+}
+
+// serve starts a desk on a store and workers, and waits until it serves.
+func serve(t *testing.T, store *fakeStore, workers *fakeWorkers) *testDesk {
+	t.Helper()
+	list := []task.Worker{{ID: "worker", Service: "service", Zone: "zone", Rack: "rack", Address: "a", Incarnation: 7,
+		Capacity: unit.Resources{Accelerators: 8, Cores: 32 * unit.Core, Memory: 100 * unit.GiB}}}
+	d := desk.New(desk.Config{Node: "node", Store: store, Lists: fakeLists{list}, Workers: workers,
+		Roster: roster.Config{HoldMax: 6 * time.Second, RemoteFactor: 3, Keep: time.Minute, Reclaim: 3 * time.Second,
+			StopTime: 400 * time.Millisecond},
+		Timer: timer.NewSystem(), Metrics: metrics.NewSet()})
+	tn := tenure.New(tenure.Config{Node: "node", Address: "a", Store: store, Holder: d, Timer: timer.NewSystem()})
+	t.Cleanup(tn.Close)
+	workers.await(t, "the first report", func() bool { return d.Hello("") })
+	return &testDesk{Desk: d, store: store, workers: workers, tenure: tn}
+}
+
+func (d *testDesk) submit(name string) desk.Reply {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	return d.Handle(ctx, desk.Request{Verb: desk.Submit, Host: testHost, Path: "/q/" + name, Key: testKey,
+		Job: &task.Job{Spec: "s", Steps: []task.Step{{Tasks: 1, Demand: unit.Resources{Accelerators: 4}, Estimate: time.Second}}}})
+}
+
+func (d *testDesk) look(name string) desk.Reply {
+	return d.Handle(context.Background(), desk.Request{Verb: desk.Look, Host: testHost, Path: "/q/" + name, Key: testKey})
+}
--- a/lib/desk/link.go
+++ b/lib/desk/link.go
@@ -132,11 +132,15 @@
 	l.signal()
 }
 
-// release lets the link go on after the cycle that took its last report.
-func (l *link) release(busy bool) {
+// release lets the link go on after a cycle has stored what a report told. Only
+// its ends are acknowledged: a later report may wait for the next cycle.
+func (l *link) release(e *reportEvent, busy bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.acked, l.busy = l.reported, busy
+	if e.report.Incarnation == l.target.Incarnation {
+		l.acked = max(l.acked, e.lastEnd())
+	}
+	l.busy = busy
 	l.signal()
 }
 
@@ -229,11 +233,10 @@
 	}
 	l.clock, l.clockAt, l.told = report.Clock, clock.Now(), h.Acked
 	l.trusted = true
-	if n := len(report.Ends); n > 0 {
-		l.reported = max(l.reported, report.Ends[n-1].Seq)
-	}
+	e := &reportEvent{link: l, sent: now, report: report}
+	l.reported = max(l.reported, e.lastEnd())
 	l.mu.Unlock()
-	if err := l.session.events.Put(&reportEvent{link: l, sent: now, report: report}); err != nil && ctx.Err() == nil {
+	if err := l.session.events.Put(e); err != nil && ctx.Err() == nil {
 		klog.InfoS("report dropped; the next one repeats it", "event", "report", "worker", l.name, "cause", err)
 	}
 	return true
@@ -262,7 +265,16 @@
 
 func (e *reportEvent) apply(s *session, now time.Time, b *batch) {
 	s.roster.Heard(now, e.sent, e.report)
-	b.heard = append(b.heard, e.link)
+	b.heard = append(b.heard, e)
+}
+
+// lastEnd is the highest end that the report tells of.
+func (e *reportEvent) lastEnd() task.EndSeq {
+	var last task.EndSeq
+	for _, end := range e.report.Ends {
+		last = max(last, end.Seq)
+	}
+	return last
 }
 
 type answerEvent struct {
--- a/lib/roster/worker.go
+++ b/lib/roster/worker.go
@@ -143,7 +143,7 @@
 	listed := make(map[task.Name]struct{}, len(rep.Active))
 	for _, a := range rep.Active {
 		listed[a.Task] = struct{}{}
-		r.heardActive(now, w, a)
+		r.heardActive(now, sent, w, a)
 	}
 	for _, e := range rep.Ends {
 		r.heardEnd(now, w, e)
@@ -164,7 +164,7 @@
 	}
 }
 
-func (r *Roster) heardActive(now time.Time, w *worker, a task.Active) {
+func (r *Roster) heardActive(now, sent time.Time, w *worker, a task.Active) {
 	m := w.find(a.Task, a.Run)
 	if m == nil {
 		r.orders = append(r.orders, Order{Kind: Stop, Worker: w.ID, Incarnation: w.Incarnation, Task: a.Task, Run: a.Run,
@@ -178,9 +178,9 @@
 		g.saved = a.Saved
 	}
 	if a.Percent > m.percent || m.advanced.IsZero() {
-		m.percent, m.advanced = a.Percent, now
+		m.percent, m.advanced = a.Percent, sent
 	}
-	if !m.stop && now.Sub(m.advanced) > stillTime && a.Percent < 100 && !g.spec().Service {
+	if !m.stop && sent.Sub(m.advanced) > stillTime && a.Percent < 100 && !g.spec().Service {
 		w.barred = now.Add(barTime)
 		g.avoid = append(g.avoid, w.ID)
 		r.stopGroup(now, g, "the run makes no progress")
