Leave headroom for the first priority while other work can wait

Its objective is 1.5 times its run time, so many are late, and the stopped work is lost.

Change: lower work that can still meet its objective leaves 12% of the accelerators free.

--- a/lib/roster/plan.go
+++ b/lib/roster/plan.go
@@ -155,6 +155,9 @@
 	now := func(m *room) unit.Resources { return minimum(m.free, m.later) }
 	later := func(m *room) unit.Resources { return m.later }
 	sets, remote := p.sets(g)
+	if p.yields(g) {
+		return false
+	}
 	for _, set := range sets {
 		if rooms := pack(g, set, p, now); rooms != nil {
 			p.start(g, rooms)
@@ -184,6 +187,26 @@
 	return false
 }
 
+// headroom is the part of all accelerators that lower work leaves free while it
+// can still wait. It holds some three gangs of the first priority, which are
+// late when they first have to stop other work.
+const headroom = 0.12
+
+// yields reports whether a group waits to leave headroom. It answers a load of
+// nearly all accelerators with bursts of the first priority.
+func (p *pass) yields(g *group) bool {
+	if g.job.queue.Priority == 0 || p.late(g.job) {
+		return false
+	}
+	var free, all unit.Accelerators
+	for _, m := range p.rooms {
+		free += max(0, m.free.Accelerators)
+		all += m.Capacity.Accelerators
+	}
+	free -= g.spec().Demand.Accelerators * unit.Accelerators(g.tasks)
+	return float64(free) < headroom*float64(all)
+}
+
 // keep takes rooms out of the rest of the pass.
 func (p *pass) keep(g *group, rooms []*room) bool {
 	for _, m := range rooms {
