Log dependencies when they change, to standard output, without blocking

Cause: in an outage of the store the owner wrote a line for each of some twenty calls a second, and its log went to standard error and could block.

--- a/bronzewinchd/main.go
+++ b/bronzewinchd/main.go
@@ -27,16 +27,18 @@
 func main() {
 	var path string
 	var onPlatform bool
+	var metricsPort int
 	flaggy.SetName("bronzewinchd")
 	flaggy.SetDescription("Runs an entry node. Example: bronzewinchd -settings /etc/bronzewinch/node.toml")
 	flaggy.SetVersion(version)
 	flaggy.String(&path, "s", "settings", "settings file (TOML); docs/configuration.md lists the settings")
 	flaggy.Bool(&onPlatform, "p", "platform", "run as a node of the cooperative platform; "+
 		platform.SettingsVariable+" names its settings file")
+	flaggy.Int(&metricsPort, "m", "metrics", "with -platform: port that serves /metrics; 0 serves none")
 	flaggy.Parse()
 	start := func() error { return run(path) }
 	if onPlatform {
-		start = runPlatform
+		start = func() error { return runPlatform(metricsPort) }
 	}
 	if err := start(); err != nil {
 		fmt.Fprintln(os.Stderr, "bronzewinchd:", err)
--- a/bronzewinchd/platform.go
+++ b/bronzewinchd/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"net"
 	"os"
 	"os/signal"
@@ -10,6 +11,7 @@
 
 	"bronzewinch.dev/lib/desk"
 	"bronzewinch.dev/lib/gate"
+	"bronzewinch.dev/lib/logline"
 	"bronzewinch.dev/lib/peer"
 	"bronzewinch.dev/lib/tenure"
 	"bronzewinch.dev/lib/timer"
@@ -31,15 +33,22 @@
 	Server   *peer.Server
 	Pool     *peer.Pool
 	Workers  *platform.Workers
+	Metrics  *metrics.Set
 }
 
 // runPlatform runs a node on the cooperative platform until it is told to
 // stop.
-func runPlatform() error {
+func runPlatform(metricsPort int) error {
+	closeLog, err := logToStdout()
+	if err != nil {
+		return err
+	}
+	defer closeLog()
 	settings, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
 	if err != nil {
 		return err
 	}
+	settings.Metrics = metricsPort
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	reload := make(chan os.Signal, 1)
@@ -64,6 +73,24 @@
 	return dig.RootCause(err)
 }
 
+// logToStdout sends the log to the standard output without ever waiting for
+// its reader.
+func logToStdout() (func(), error) {
+	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	for name, value := range map[string]string{"logtostderr": "false", "one_output": "true", "stderrthreshold": "FATAL"} {
+		if err := flags.Set(name, value); err != nil {
+			return nil, err
+		}
+	}
+	w := logline.New(os.Stdout)
+	klog.SetOutput(w)
+	return func() {
+		klog.Flush()
+		w.Close()
+	}, nil
+}
+
 func newDesk(s platform.Settings, store *platform.Store, workers *platform.Workers, clock timer.Service,
 	set *metrics.Set) *desk.Desk {
 	return desk.New(desk.Config{Node: s.Node, Store: store, Lists: platform.Lists{Store: store}, Workers: workers,
@@ -109,7 +136,7 @@
 		return errors.Wrap(err, "listen for other nodes")
 	}
 	n.Server.Serve(listener)
-	front, err := platform.NewFront(n.Settings, n.Gate)
+	front, err := platform.NewFront(n.Settings, n.Gate, n.Metrics)
 	if err != nil {
 		return errors.Wrap(err, "listen for clients")
 	}
--- /dev/null
+++ b/lib/dependency/dependency.go
@@ -0,0 +1,53 @@
+// Package dependency logs when something that a node needs is lost and when it
+// is back, in one line each, however many calls fail in between.
+package dependency
+
+import (
+	"sync"
+	"time"
+
+	"bronzewinch.dev/lib/timer"
+
+	"k8s.io/klog/v2"
+)
+
+// Dependency is one thing that a node calls.
+type Dependency struct {
+	name  string
+	clock timer.Service
+
+	mu     sync.Mutex
+	since  time.Time // when it was lost; zero while it answers
+	failed int
+}
+
+// New returns a dependency that counts as answering.
+func New(name string, clock timer.Service) *Dependency { return &Dependency{name: name, clock: clock} }
+
+// Observe takes over the result of a call.
+func (d *Dependency) Observe(err error) {
+	now := d.clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case err != nil && d.since.IsZero():
+		d.since, d.failed = now, 1
+		klog.InfoS("dependency lost", "event", "dependency", "dependency", d.name, "cause", err)
+	case err != nil:
+		d.failed++
+	case !d.since.IsZero():
+		klog.InfoS("dependency regained", "event", "dependency", "dependency", d.name, "lostMs", now.Sub(d.since).Milliseconds(),
+			"failedCalls", d.failed)
+		d.since = time.Time{}
+	}
+}
+
+// Lost returns for how long the dependency has been lost, or zero.
+func (d *Dependency) Lost() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.since.IsZero() {
+		return 0
+	}
+	return d.clock.Now().Sub(d.since)
+}
--- a/lib/desk/cycle.go
+++ b/lib/desk/cycle.go
@@ -160,7 +160,10 @@
 
 const (
 	commitTimeout = 1200 * time.Millisecond
-	commitRetry   = 60 * time.Millisecond
+	// commitRetry and commitRetryMost are the pauses between attempts. Every
+	// call to the store has a price, also while it is down.
+	commitRetry     = 60 * time.Millisecond
+	commitRetryMost = 300 * time.Millisecond
 )
 
 // commitOne writes one transaction, and repeats it until its fate is known.
@@ -179,7 +182,7 @@
 		Writes: append([]kv.Write{{Key: tenure.CommitKey, Value: value}}, writes...),
 		Remove: removals,
 	}
-	begun := s.desk.config.Timer.Now()
+	begun, pause := s.desk.config.Timer.Now(), commitRetry
 	defer s.stalled.Store(false)
 	for {
 		call, cancel := context.WithTimeout(ctx, commitTimeout)
@@ -197,8 +200,10 @@
 		switch {
 		case err == nil && result.Committed:
 			s.commit = result.Version
+			s.desk.store.Observe(nil)
 			return nil
 		case err == nil:
+			s.desk.store.Observe(nil)
 			return s.resolve(result, mark)
 		case ctx.Err() != nil:
 			return context.Cause(ctx)
@@ -206,11 +211,11 @@
 			return err
 		}
 		s.stalled.Store(s.desk.config.Timer.Now().Sub(begun) > stallTime)
-		klog.InfoS("transaction not confirmed; it is repeated", "event", "commit", "fence", mark.Fence, "number", mark.Number,
-			"cause", err)
-		if err := timer.Sleep(ctx, s.desk.config.Timer, timer.Jitter(commitRetry)); err != nil {
+		s.desk.store.Observe(err)
+		if err := timer.Sleep(ctx, s.desk.config.Timer, timer.Jitter(pause)); err != nil {
 			return context.Cause(ctx)
 		}
+		pause = min(2*pause, commitRetryMost)
 	}
 }
 
@@ -245,10 +250,29 @@
 		}
 	}
 	for _, n := range c.Notes {
-		klog.InfoS(n.Event, "event", "decision", "job", n.Job, "task", n.Task.String(), "run", n.Run, "worker", n.Worker,
-			"reason", n.Reason, "ageMs", n.Age.Milliseconds(), "config", s.directory.Load().config.Number,
-			"fence", s.term.Fence)
+		s.log(n)
+	}
+}
+
+// log writes one line for a decision: what was decided, on what, and how old
+// or which version its inputs were.
+func (s *session) log(n roster.Note) {
+	fields := []any{"event", n.Event}
+	if n.Job != "" {
+		fields = append(fields, "job", n.Job)
+	}
+	if n.Run > 0 {
+		fields = append(fields, "task", n.Task.String(), "run", n.Run)
+	}
+	if n.Worker != "" {
+		fields = append(fields, "worker", n.Worker)
+	}
+	if n.Reason != "" {
+		fields = append(fields, "reason", n.Reason)
 	}
+	fields = append(fields, "ageMs", n.Age.Milliseconds(), "config", s.directory.Load().config.Number, "fence", s.term.Fence,
+		"commit", s.number)
+	klog.InfoS("decision", fields...)
 }
 
 func (s *session) publish(c roster.Changes) {
--- a/lib/desk/desk.go
+++ b/lib/desk/desk.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"bronzewinch.dev/lib/dependency"
 	"bronzewinch.dev/lib/id"
 	"bronzewinch.dev/lib/kv"
 	"bronzewinch.dev/lib/pipe"
@@ -85,6 +86,10 @@
 type Desk struct {
 	config Config
 	stages pipe.Filter[call, call]
+	// store and lists tell of the metadata store as transactions and watches
+	// see it.
+	store *dependency.Dependency
+	lists *dependency.Dependency
 
 	session atomic.Pointer[session]
 
@@ -96,7 +101,8 @@
 
 // New returns a desk that does not serve yet.
 func New(c Config) *Desk {
-	d := &Desk{config: c, heard: make(map[id.Node]time.Time)}
+	d := &Desk{config: c, heard: make(map[id.Node]time.Time), store: dependency.New("store", c.Timer),
+		lists: dependency.New("lists", c.Timer)}
 	d.stages = pipe.Then(
 		pipe.Then(pipe.Named(c.Metrics, "route", pipe.Func[call, call](d.findRoute)),
 			pipe.Named(c.Metrics, "authenticate", pipe.Func[call, call](d.authenticate))),
--- a/lib/desk/link.go
+++ b/lib/desk/link.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"bronzewinch.dev/lib/dependency"
 	"bronzewinch.dev/lib/id"
 	"bronzewinch.dev/lib/pipe"
 	"bronzewinch.dev/lib/roster"
@@ -64,6 +65,7 @@
 	session *session
 	name    id.Worker
 	orders  *pipe.Queue[roster.Order]
+	contact *dependency.Dependency
 	wake    chan struct{}
 
 	mu       sync.Mutex
@@ -79,7 +81,8 @@
 }
 
 func newLink(ctx context.Context, s *session, w task.Worker) *link {
-	l := &link{session: s, name: w.ID, orders: pipe.NewQueue[roster.Order](orderLimit), wake: make(chan struct{}, 1)}
+	l := &link{session: s, name: w.ID, orders: pipe.NewQueue[roster.Order](orderLimit), wake: make(chan struct{}, 1),
+		contact: dependency.New("worker "+string(w.ID), s.desk.config.Timer)}
 	l.target = Target{Worker: w.ID, Address: w.Address, Incarnation: w.Incarnation}
 	s.wg.Go(func() { l.poll(ctx) })
 	s.wg.Go(func() {
@@ -223,7 +226,7 @@
 	defer cancel()
 	report, err := l.session.desk.config.Workers.Hold(call, target, h)
 	if err != nil {
-		l.failed(ctx, target, err)
+		l.failed(ctx, err)
 		return false
 	}
 	l.mu.Lock()
@@ -233,6 +236,7 @@
 	}
 	l.clock, l.clockAt, l.told = report.Clock, clock.Now(), h.Acked
 	l.trusted = true
+	l.contact.Observe(nil)
 	e := &reportEvent{link: l, sent: now, report: report}
 	l.reported = max(l.reported, e.lastEnd())
 	l.mu.Unlock()
@@ -244,17 +248,14 @@
 
 // failed notes an unanswered call. The call may still extend the lease, so
 // later calls to the worker grant nothing until one is answered.
-func (l *link) failed(ctx context.Context, target Target, err error) {
+func (l *link) failed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
 	}
 	l.mu.Lock()
-	was := l.trusted
 	l.trusted = false
 	l.mu.Unlock()
-	if was {
-		klog.InfoS("worker does not answer", "event", "worker", "worker", target.Worker, "incarnation", target.Incarnation, "cause", err)
-	}
+	l.contact.Observe(err)
 }
 
 type reportEvent struct {
--- a/lib/desk/lists.go
+++ b/lib/desk/lists.go
@@ -15,8 +15,9 @@
 	"k8s.io/klog/v2"
 )
 
-// listRetry is the pause after a failed read of a list.
-const listRetry = 100 * time.Millisecond
+// listRetry is the pause after a failed read of a list. A list must be read
+// soon after the store is back.
+const listRetry = 150 * time.Millisecond
 
 // configure puts a configuration into force for calls that come from now on.
 // It was read by a call that was sent at read.
@@ -57,9 +58,10 @@
 			u, err = s.desk.config.Lists.ReadConfig(ctx)
 		}
 		if err != nil {
-			s.listFailed(ctx, "configuration", err)
+			s.listFailed(ctx, err)
 			continue
 		}
+		s.desk.lists.Observe(nil)
 		version = max(version, u.Version)
 		if u.Config != nil && u.Config.Version > s.directory.Load().config.Version {
 			s.directory.Store(newDirectory(*u.Config))
@@ -75,11 +77,11 @@
 	}
 }
 
-func (s *session) listFailed(ctx context.Context, name string, err error) {
+func (s *session) listFailed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
 	}
-	klog.InfoS("list not read; it is tried again", "event", "list", "list", name, "cause", err)
+	s.desk.lists.Observe(err)
 	_ = timer.Sleep(ctx, s.desk.config.Timer, timer.Jitter(listRetry))
 }
 
@@ -119,7 +121,7 @@
 			}
 		}
 		if err != nil {
-			s.listFailed(ctx, "workers", err)
+			s.listFailed(ctx, err)
 			continue
 		}
 		version = max(version, u.Version)
--- a/lib/gate/gate.go
+++ b/lib/gate/gate.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"bronzewinch.dev/lib/dependency"
 	"bronzewinch.dev/lib/desk"
 	"bronzewinch.dev/lib/id"
 	"bronzewinch.dev/lib/peer"
@@ -15,6 +16,7 @@
 	"bronzewinch.dev/lib/tenure"
 	"bronzewinch.dev/lib/timer"
 
+	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 )
 
@@ -83,6 +85,7 @@
 	stop   context.CancelFunc
 	wg     sync.WaitGroup
 
+	owner   *dependency.Dependency
 	leaving atomic.Bool
 
 	mu    sync.Mutex
@@ -99,7 +102,7 @@
 // owner.
 func New(c Config) *Gate {
 	ctx, cancel := context.WithCancel(context.Background())
-	g := &Gate{config: c, stop: cancel, seeds: c.Seeds, peers: make(map[string]time.Time)}
+	g := &Gate{config: c, stop: cancel, owner: dependency.New("owner", c.Timer), seeds: c.Seeds, peers: make(map[string]time.Time)}
 	peer.Handle(c.Server, callMethod, func(ctx context.Context, req desk.Request) (desk.Reply, error) {
 		return c.Desk.Handle(ctx, req), nil
 	})
@@ -273,6 +276,7 @@
 	if owner.Address != "" {
 		if r, err := g.hello(ctx, owner.Address); err == nil {
 			g.answered(owner)
+			g.owner.Observe(nil)
 			if r.Serving {
 				g.served()
 			}
@@ -282,7 +286,7 @@
 			return
 		}
 		if ctx.Err() == nil {
-			klog.InfoS("owner does not answer", "event", "owner", "owner", owner.Node, "fence", owner.Fence)
+			g.owner.Observe(errors.Newf("owner %s with fence %d does not answer", owner.Node, owner.Fence))
 		}
 		g.silent(owner)
 		g.config.Owners.Check()
--- /dev/null
+++ b/lib/logline/logline_test.go
@@ -0,0 +1,58 @@
+package logline_test
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	"bronzewinch.dev/lib/logline"
+
+	"github.com/matryer/is"
+)
+
+// stuckWriter blocks until it is released.
+type stuckWriter struct {
+	release chan struct{}
+
+	mu  sync.Mutex
+	out bytes.Buffer
+}
+
+func (w *stuckWriter) Write(b []byte) (int, error) {
+	<-w.release
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.out.Write(b)
+}
+
+// TestFullBufferDropsAndCounts guards against a slow reader of the log that
+// stops the scheduler, and against lines that vanish without a trace.
+func TestFullBufferDropsAndCounts(t *testing.T) {
+	is := is.New(t)
+	out := &stuckWriter{release: make(chan struct{})}
+	w := logline.New(out)
+	for i := range 10000 {
+		n, err := fmt.Fprintf(w, "I \"line\" event=\"decision\" n=%d\n", i)
+		is.NoErr(err)
+		is.True(n > 0)
+	}
+	close(out.release)
+	w.Close()
+	text := out.out.String()
+	is.True(strings.Contains(text, `event="dropped" decision=`))
+	is.True(strings.Count(text, "\n") > 4000)
+	_, err := w.Write([]byte("late\n"))
+	is.NoErr(err)
+}
+
+// TestOrder guards against lines out of order or cut.
+func TestOrder(t *testing.T) {
+	var out bytes.Buffer
+	w := logline.New(&out)
+	_, _ = w.Write([]byte("a\n"))
+	_, _ = w.Write([]byte("b\n"))
+	w.Close()
+	is.New(t).Equal(out.String(), "a\nb\n")
+}
--- a/lib/tenure/tenure.go
+++ b/lib/tenure/tenure.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"bronzewinch.dev/lib/codec"
+	"bronzewinch.dev/lib/dependency"
 	"bronzewinch.dev/lib/id"
 	"bronzewinch.dev/lib/kv"
 	"bronzewinch.dev/lib/problem"
@@ -128,6 +129,7 @@
 type Tenure struct {
 	config Config
 	poke   chan struct{}
+	store  *dependency.Dependency
 	stop   context.CancelFunc
 	wg     sync.WaitGroup
 
@@ -139,7 +141,7 @@
 // New starts to follow the owner.
 func New(c Config) *Tenure {
 	ctx, cancel := context.WithCancel(context.Background())
-	t := &Tenure{config: c, poke: make(chan struct{}, 1), stop: cancel}
+	t := &Tenure{config: c, poke: make(chan struct{}, 1), store: dependency.New("ownerKey", c.Timer), stop: cancel}
 	t.wg.Go(func() { t.follow(ctx) })
 	return t
 }
@@ -189,6 +191,9 @@
 	pause := retryWait
 	for ctx.Err() == nil {
 		version, found, err := t.read(ctx)
+		if ctx.Err() == nil {
+			t.store.Observe(err)
+		}
 		if err == nil {
 			pause = retryWait
 		}
@@ -361,14 +366,15 @@
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		err := t.config.Store.KeepAlive(call, term.lease)
 		cancel()
+		if ctx.Err() == nil {
+			t.store.Observe(err)
+		}
 		switch {
 		case err == nil:
 			term.renewed.Store(int64(sent))
 		case problem.Is(err, problem.NotFound):
 			term.End(errors.Wrap(err, "the lease of the owner key has ended"))
 			return
-		case ctx.Err() == nil:
-			klog.InfoS("lease not renewed", "event", "term", "fence", term.Fence, "age", term.age(), "cause", err)
 		}
 	}
 }
