--- a/lib/gate/gate.go
+++ b/lib/gate/gate.go
@@ -156,12 +156,12 @@
 		contact, owner := g.contact()
 		if owner.Node == g.config.Node {
 			reply := g.config.Desk.Handle(ctx, req)
-			if !sent || reply.Outcome != desk.Refused {
+			if !sent || final(req.Verb, reply.Outcome) {
 				return reply
 			}
 		} else if contact != nil {
 			reply, err := g.relay(ctx, contact, owner, req)
-			if err == nil && (!sent || reply.Outcome != desk.Refused) {
+			if err == nil && (!sent || final(req.Verb, reply.Outcome)) {
 				return reply
 			}
 			sent = sent || !problem.Is(err, problem.Unavailable)
@@ -177,6 +177,13 @@
 	return desk.Reply{Outcome: desk.Unknown, Detail: "send the call again with the same id; it may have been carried out"}
 }
 
+// final reports whether the answer to a repeated call tells what became of it.
+// A job that is turned away at the second attempt may have been accepted at
+// the first: its key may have been revoked in between.
+func final(v desk.Verb, o desk.Outcome) bool {
+	return o == desk.OK || v != desk.Submit && o != desk.Refused
+}
+
 // retryPause is the pause before a call is sent to the next owner.
 const retryPause = 100 * time.Millisecond
 
@@ -203,7 +210,7 @@
 	if owner.Address == "" {
 		return nil, owner
 	}
-	if owner.Fence != g.contacted.Fence {
+	if owner.Fence > g.contacted.Fence {
 		g.renewContact(owner)
 	}
 	return g.contactCtx, owner
@@ -222,10 +229,13 @@
 func (g *Gate) silent(owner tenure.Owner) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.contacted.Fence == owner.Fence && g.contactEnd != nil {
+	if owner.Fence < g.contacted.Fence {
+		return
+	}
+	if g.contactEnd != nil {
 		g.contactEnd()
-		g.contactCtx, g.contactEnd = nil, nil
 	}
+	g.contacted, g.contactCtx, g.contactEnd = owner, nil, nil
 }
 
 // answered begins a contact with an owner that answers again.
--- /dev/null
+++ b/standin/cooperative/store.go
@@ -0,0 +1,365 @@
+// Package cooperative holds stand-ins for the cooperative platform: its
+// metadata store and its workers, over the platform's HTTP interfaces, with
+// faults that tests inject and a check of what the workers were told.
+package cooperative
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+)
+
+// Fault is how the store treats the calls of one node.
+type Fault int
+
+// The faults of the store.
+const (
+	// Fine serves calls.
+	Fine Fault = iota
+	// Busy refuses calls without effect.
+	Busy
+	// Silent leaves calls without effect and without an answer.
+	Silent
+	// LoseAnswers carries writes out and leaves them without an answer.
+	LoseAnswers
+	// Slow answers after slowTime.
+	Slow
+)
+
+// slowTime is sixty times the store's usual answer time.
+const slowTime = 240 * time.Millisecond
+
+type item struct {
+	Key     string `json:"key"`
+	Value   []byte `json:"value,omitempty"`
+	Rev     uint64 `json:"rev"`
+	Created uint64 `json:"created,omitempty"`
+	Lease   uint64 `json:"lease,omitempty"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+type lease struct {
+	ttl  time.Duration
+	ends time.Time
+}
+
+// Store is the metadata store.
+type Store struct {
+	mu      sync.Mutex
+	rev     uint64
+	items   map[string]item
+	history []item
+	kept    uint64 // the history before this revision is gone
+	leases  map[uint64]lease
+	nextID  uint64
+	changed chan struct{}
+	faults  map[string]Fault
+	calls   int
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{rev: 100, kept: 100, items: make(map[string]item), leases: make(map[uint64]lease),
+		changed: make(chan struct{}), faults: make(map[string]Fault)}
+}
+
+// SetFault sets how the calls of a node are treated.
+func (s *Store) SetFault(node string, f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults[node] = f
+}
+
+// Compact drops the history.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.kept = nil, s.rev
+}
+
+// Calls returns the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Write sets a key as an operator or a worker does. A nil value removes it.
+func (s *Store) Write(key string, value any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev++
+	if value == nil {
+		s.drop(key)
+		return
+	}
+	b, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // only the test's own values are written here
+	}
+	s.put(key, b, 0)
+}
+
+// put sets a key at the present revision. The lock is held.
+func (s *Store) put(key string, value []byte, lease uint64) {
+	i := item{Key: key, Value: value, Rev: s.rev, Created: s.rev, Lease: lease}
+	if old, ok := s.items[key]; ok {
+		i.Created = old.Created
+	}
+	s.items[key] = i
+	s.record(i)
+}
+
+// drop removes a key at the present revision. The lock is held.
+func (s *Store) drop(key string) {
+	if _, ok := s.items[key]; ok {
+		delete(s.items, key)
+		s.record(item{Key: key, Rev: s.rev, Deleted: true})
+	}
+}
+
+func (s *Store) record(i item) {
+	s.history = append(s.history, i)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// expire ends the leases whose time has passed. The lock is held.
+func (s *Store) expire() {
+	now := time.Now()
+	for id, l := range s.leases {
+		if now.After(l.ends) {
+			s.endLease(id)
+		}
+	}
+}
+
+func (s *Store) endLease(id uint64) {
+	delete(s.leases, id)
+	for key, i := range s.items {
+		if i.Lease == id {
+			s.rev++
+			s.drop(key)
+		}
+	}
+}
+
+// Handler serves the calls of one node.
+func (s *Store) Handler(node string) http.Handler {
+	r := chi.NewRouter()
+	r.Use(func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(node, next, w, r) })
+	})
+	r.Get("/kv-key", s.get)
+	r.Get("/kv-range", s.list)
+	r.Get("/kv-watch", s.watch)
+	r.Post("/kv-txn", s.txn)
+	r.Post("/kv-lease", s.grant)
+	r.Post("/kv-keep/{id}", s.keep)
+	r.Delete("/kv-lease-end/{id}", s.end)
+	return r
+}
+
+// lostWriter swallows an answer.
+type lostWriter struct{ header http.Header }
+
+func (w lostWriter) Header() http.Header         { return w.header }
+func (w lostWriter) Write(b []byte) (int, error) { return len(b), nil }
+func (w lostWriter) WriteHeader(int)             {}
+
+func (s *Store) serve(node string, next http.Handler, w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls++
+	fault := s.faults[node]
+	s.expire()
+	s.mu.Unlock()
+	switch {
+	case fault == Busy:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case fault == Silent:
+		<-r.Context().Done()
+		return
+	case fault == Slow:
+		time.Sleep(slowTime)
+	case fault == LoseAnswers && r.Method != http.MethodGet:
+		next.ServeHTTP(lostWriter{http.Header{}}, r)
+		<-r.Context().Done()
+		return
+	}
+	next.ServeHTTP(w, r)
+}
+
+func reply(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body) // the caller may have gone
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	i, ok := s.items[r.URL.Query().Get("key")]
+	s.mu.Unlock()
+	if !ok {
+		reply(w, http.StatusNotFound, struct{}{})
+		return
+	}
+	reply(w, http.StatusOK, i)
+}
+
+// pageItems is the greatest number of items of a page.
+const pageItems = 500
+
+func (s *Store) list(w http.ResponseWriter, r *http.Request) {
+	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
+	s.mu.Lock()
+	var items []item
+	for key, i := range s.items {
+		if strings.HasPrefix(key, prefix) && key > after {
+			items = append(items, i)
+		}
+	}
+	rev := s.rev
+	s.mu.Unlock()
+	slices.SortFunc(items, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
+	more := len(items) > pageItems
+	items = items[:min(len(items), pageItems)]
+	reply(w, http.StatusOK, map[string]any{"items": items, "has_more": more, "current_rev": rev})
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(q.Get("wait_ms"))
+	limit := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer limit.Stop()
+	expiry := time.NewTicker(50 * time.Millisecond)
+	defer expiry.Stop()
+	for {
+		s.mu.Lock()
+		s.expire()
+		if after < s.kept {
+			s.mu.Unlock()
+			reply(w, http.StatusGone, struct{}{})
+			return
+		}
+		var events []item
+		for _, i := range s.history {
+			if i.Rev > after && strings.HasPrefix(i.Key, q.Get("prefix")) {
+				events = append(events, i)
+			}
+		}
+		rev, changed := s.rev, s.changed
+		s.mu.Unlock()
+		if len(events) > 0 {
+			reply(w, http.StatusOK, map[string]any{"events": events, "current_rev": rev})
+			return
+		}
+		select {
+		case <-changed:
+		case <-expiry.C:
+		case <-limit.C:
+			reply(w, http.StatusOK, map[string]any{"events": []item{}, "current_rev": rev})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+type txnCall struct {
+	ExpectRev []struct {
+		Key string `json:"key"`
+		Rev uint64 `json:"rev"`
+	} `json:"expect_rev"`
+	Writes []item   `json:"writes"`
+	Remove []string `json:"remove"`
+}
+
+// maxTxn is the greatest number of entries of a transaction.
+const maxTxn = 32
+
+func (s *Store) txn(w http.ResponseWriter, r *http.Request) {
+	var c txnCall
+	if err := json.NewDecoder(r.Body).Decode(&c); err != nil || len(c.ExpectRev)+len(c.Writes)+len(c.Remove) > maxTxn {
+		reply(w, http.StatusBadRequest, struct{}{})
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	present := []item{}
+	failed := false
+	for _, e := range c.ExpectRev {
+		i, ok := s.items[e.Key]
+		if ok {
+			present = append(present, i)
+		}
+		failed = failed || i.Rev != e.Rev
+	}
+	if failed {
+		reply(w, http.StatusPreconditionFailed, map[string]any{"items": present})
+		return
+	}
+	for _, i := range c.Writes {
+		if _, ok := s.leases[i.Lease]; i.Lease != 0 && !ok {
+			reply(w, http.StatusNotFound, struct{}{})
+			return
+		}
+	}
+	s.rev++
+	for _, i := range c.Writes {
+		s.put(i.Key, i.Value, i.Lease)
+	}
+	for _, key := range c.Remove {
+		s.drop(key)
+	}
+	reply(w, http.StatusOK, map[string]any{"rev": s.rev})
+}
+
+func (s *Store) grant(w http.ResponseWriter, r *http.Request) {
+	var c struct {
+		TTL int64 `json:"ttl_ms"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&c); err != nil || c.TTL <= 0 {
+		reply(w, http.StatusBadRequest, struct{}{})
+		return
+	}
+	ttl := time.Duration(c.TTL) * time.Millisecond
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextID++
+	s.leases[s.nextID] = lease{ttl, time.Now().Add(ttl)}
+	reply(w, http.StatusOK, map[string]any{"lease": s.nextID, "ttl_ms": c.TTL})
+}
+
+func (s *Store) keep(w http.ResponseWriter, r *http.Request) {
+	id, _ := strconv.ParseUint(chi.URLParam(r, "id"), 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, ok := s.leases[id]
+	if !ok {
+		reply(w, http.StatusNotFound, struct{}{})
+		return
+	}
+	l.ends = time.Now().Add(l.ttl)
+	s.leases[id] = l
+	reply(w, http.StatusOK, map[string]any{"ttl_ms": l.ttl.Milliseconds()})
+}
+
+func (s *Store) end(w http.ResponseWriter, r *http.Request) {
+	id, _ := strconv.ParseUint(chi.URLParam(r, "id"), 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.leases[id]; !ok {
+		reply(w, http.StatusNotFound, struct{}{})
+		return
+	}
+	s.endLease(id)
+	reply(w, http.StatusOK, struct{}{})
+}
