Play the platform on loopback, with a soak of overlapping faults

Change: standin/cooperative has the store and the workers over the platform's HTTP, a proxy that delays, mutes and resets, and worlds of daemon processes; its tests play jobs of each shape, a reclaim, five ends of an owner and a store without history. bwbench soak disturbs a world at random and checks what clients and workers see.

Found by these tests: a job whose first task had started was shown as pending until its next event; now a start is published. Headroom is kept only for 30 s after the last job of the first priority, so that a deployment without such jobs uses all accelerators.

--- a/bwbench/main.go
+++ b/bwbench/main.go
@@ -10,6 +10,7 @@
 	"bronzewinch.dev/bwbench/clusterbench"
 	"bronzewinch.dev/bwbench/placementbench"
 	"bronzewinch.dev/bwbench/requestbench"
+	"bronzewinch.dev/bwbench/soakbench"
 
 	"github.com/integrii/flaggy"
 )
@@ -18,6 +19,7 @@
 var experiments = map[string]func(args []string) error{
 	"placement": runPlacement,
 	"requests":  requestbench.Run,
+	"soak":      soakbench.Run,
 	"cluster":   clusterbench.Run,
 }
 
--- /dev/null
+++ b/bwbench/soakbench/soak.go
@@ -0,0 +1,281 @@
+// Package soakbench runs nodes of the cooperative platform as processes and
+// disturbs them at random, while it checks what clients and workers see.
+package soakbench
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"bronzewinch.dev/standin/cooperative"
+
+	"github.com/integrii/flaggy"
+)
+
+// Config configures a soak.
+type Config struct {
+	Seed    uint64
+	Time    time.Duration
+	Nodes   int
+	Workers int
+	// Dir takes settings and logs; a new one is made when it is empty.
+	Dir string
+	// Binary is the daemon; it is built when it is empty.
+	Binary string
+}
+
+// settleTime is how long the deployment has after the last fault to finish all
+// jobs: the lapse of leases and a few runs.
+const settleTime = 45 * time.Second
+
+// Result is what a soak found.
+type Result struct {
+	Jobs, Accepted, Refused, Unknown, Cancelled, Completed int
+	Starts                                                 int
+	Faults                                                 []string
+	Violations                                             []string
+	Dir                                                    string
+}
+
+// Run is the subcommand of bwbench.
+func Run(args []string) error {
+	c := Config{Seed: uint64(time.Now().UnixNano()), Nodes: 4, Workers: 6}
+	minutes := 1.0
+	sub := flaggy.NewSubcommand("soak")
+	sub.Description = "disturb nodes as processes at random and check what clients and workers see"
+	sub.UInt64(&c.Seed, "", "seed", "seed of the faults and jobs")
+	sub.Float64(&minutes, "", "minutes", "time with faults")
+	sub.Int(&c.Nodes, "", "nodes", "number of nodes")
+	sub.Int(&c.Workers, "", "workers", "number of workers")
+	sub.String(&c.Dir, "", "dir", "directory for settings and logs")
+	sub.String(&c.Binary, "", "binary", "daemon to run; built when it is empty")
+	parser := flaggy.NewParser("bwbench")
+	parser.AttachSubcommand(sub, 1)
+	if err := parser.ParseArgs(append([]string{"soak"}, args...)); err != nil {
+		return err
+	}
+	c.Time = time.Duration(minutes * float64(time.Minute))
+	r, err := Soak(c)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("seed %d: %d jobs, %d accepted, %d refused, %d unknown, %d cancelled, %d completed; %d starts; %d faults; %d violations; logs in %s\n",
+		c.Seed, r.Jobs, r.Accepted, r.Refused, r.Unknown, r.Cancelled, r.Completed, r.Starts, len(r.Faults), len(r.Violations), r.Dir)
+	for _, v := range r.Violations {
+		fmt.Println("  " + v)
+	}
+	if len(r.Violations) > 0 {
+		for _, f := range r.Faults {
+			fmt.Println("  fault: " + f)
+		}
+		return fmt.Errorf("seed %d broke %d promises", c.Seed, len(r.Violations))
+	}
+	return nil
+}
+
+// Soak runs one soak.
+func Soak(c Config) (Result, error) {
+	if err := c.prepare(); err != nil {
+		return Result{}, err
+	}
+	w, err := cooperative.NewWorld(cooperative.WorldConfig{Binary: c.Binary, Dir: c.Dir, Nodes: c.Nodes, Workers: c.Workers})
+	if err != nil {
+		return Result{}, err
+	}
+	defer w.Close()
+	if !w.AwaitReady(20 * time.Second) {
+		return Result{}, fmt.Errorf("the nodes are not ready; see the logs in %s", c.Dir)
+	}
+	s := &soak{config: c, world: w, result: Result{Dir: c.Dir}, end: time.Now().Add(c.Time)}
+	var wg sync.WaitGroup
+	for i := range clients {
+		wg.Go(func() { s.client(i, rand.New(rand.NewPCG(c.Seed, uint64(i)+1))) })
+	}
+	s.disturb(rand.New(rand.NewPCG(c.Seed, 0)))
+	s.heal()
+	wg.Wait()
+	s.settle()
+	s.result.Starts = w.Fleet.Starts()
+	s.result.Violations = append(s.result.Violations, w.Fleet.Violations()...)
+	return s.result, nil
+}
+
+func (c *Config) prepare() (err error) {
+	if c.Dir == "" {
+		if c.Dir, err = os.MkdirTemp("", "soak"); err != nil {
+			return err
+		}
+	}
+	if c.Binary != "" {
+		return nil
+	}
+	c.Binary = filepath.Join(c.Dir, "bronzewinchd")
+	build := exec.Command("go", "build", "-o", c.Binary, "bronzewinch.dev/bronzewinchd")
+	build.Stderr = os.Stderr
+	return build.Run()
+}
+
+// soak is one run.
+type soak struct {
+	config Config
+	world  *cooperative.World
+	end    time.Time
+
+	mu     sync.Mutex
+	result Result
+	jobs   []*job
+}
+
+func (s *soak) violate(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.result.Violations = append(s.result.Violations, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
+}
+
+// fault is one kind of disturbance and how it ends. A nil end means that it
+// ends by itself.
+type fault struct {
+	name string
+	hit  func(s *soak, r *rand.Rand) (end func())
+}
+
+func node(s *soak, r *rand.Rand) *cooperative.Node {
+	if o := s.world.Owner(); o != nil && r.IntN(2) == 0 {
+		return o
+	}
+	return s.world.Nodes[r.IntN(len(s.world.Nodes))]
+}
+
+// signalled stops a process by a signal and starts it again.
+func signalled(sig syscall.Signal) func(*soak, *rand.Rand) func() {
+	return func(s *soak, r *rand.Rand) func() {
+		n := node(s, r)
+		n.Signal(sig)
+		return func() {
+			if n.AwaitEnd(8 * time.Second) {
+				s.start(n)
+			} else {
+				s.violate("%s did not end in its grace time", n.Name)
+			}
+		}
+	}
+}
+
+func (s *soak) start(n *cooperative.Node) {
+	if err := n.Start(); err != nil {
+		s.violate("%s does not start: %v", n.Name, err)
+	}
+}
+
+func storeFault(f cooperative.Fault, all bool) func(*soak, *rand.Rand) func() {
+	return func(s *soak, r *rand.Rand) func() {
+		nodes := []*cooperative.Node{node(s, r)}
+		if all {
+			nodes = s.world.Nodes
+		}
+		for _, n := range nodes {
+			s.world.Store.SetFault(n.Name, f)
+		}
+		return func() {
+			for _, n := range nodes {
+				s.world.Store.SetFault(n.Name, cooperative.Fine)
+			}
+		}
+	}
+}
+
+func cut(m cooperative.ProxyMode, workers bool) func(*soak, *rand.Rand) func() {
+	return func(s *soak, r *rand.Rand) func() {
+		p := node(s, r).Store
+		if workers {
+			p = s.world.WorkerProxies[r.IntN(len(s.world.WorkerProxies))]
+		}
+		p.Set(m)
+		return func() {
+			if r.IntN(2) == 0 {
+				p.Reset()
+			}
+			p.Set(cooperative.Pass)
+		}
+	}
+}
+
+var faults = []fault{
+	{"kill a node", signalled(syscall.SIGKILL)},
+	{"terminate a node", signalled(syscall.SIGTERM)},
+	{"reload a node", func(s *soak, r *rand.Rand) func() { node(s, r).Signal(syscall.SIGHUP); return nil }},
+	{"pause a node", func(s *soak, r *rand.Rand) func() {
+		n := node(s, r)
+		n.Signal(syscall.SIGSTOP)
+		return func() { n.Signal(syscall.SIGCONT) }
+	}},
+	{"kill all nodes", func(s *soak, _ *rand.Rand) func() {
+		for _, n := range s.world.Nodes {
+			n.Signal(syscall.SIGKILL)
+		}
+		return func() {
+			for _, n := range s.world.Nodes {
+				n.AwaitEnd(8 * time.Second)
+				s.start(n)
+			}
+		}
+	}},
+	{"store turns a node away", storeFault(cooperative.Busy, false)},
+	{"store is silent to a node", storeFault(cooperative.Silent, false)},
+	{"store is down", storeFault(cooperative.Busy, true)},
+	{"store is slow", storeFault(cooperative.Slow, true)},
+	{"store loses answers", storeFault(cooperative.LoseAnswers, true)},
+	{"store forgets its history", func(s *soak, _ *rand.Rand) func() { s.world.Store.Compact(); return nil }},
+	{"node is cut from the store one way", cut(cooperative.Mute, false)},
+	{"node is cut from the store", cut(cooperative.Hold, false)},
+	{"path to the store is slow", cut(cooperative.Delay, false)},
+	{"worker is cut off one way", cut(cooperative.Mute, true)},
+	{"worker is cut off", cut(cooperative.Hold, true)},
+	{"configuration changes", func(s *soak, _ *rand.Rand) func() { s.world.Configure(); return nil }},
+}
+
+// mostFaults is the number of faults that may overlap.
+const mostFaults = 3
+
+// disturb starts faults at random until the end of the run.
+func (s *soak) disturb(r *rand.Rand) {
+	var wg sync.WaitGroup
+	slots := make(chan struct{}, mostFaults)
+	for time.Now().Before(s.end) {
+		time.Sleep(time.Duration(300+r.IntN(1500)) * time.Millisecond)
+		f := faults[r.IntN(len(faults))]
+		hold := time.Duration(300+r.IntN(6000)) * time.Millisecond
+		own := rand.New(rand.NewPCG(r.Uint64(), 1))
+		slots <- struct{}{}
+		s.mu.Lock()
+		s.result.Faults = append(s.result.Faults, fmt.Sprintf("%s %s for %v", time.Now().Format("15:04:05.000"), f.name, hold))
+		s.mu.Unlock()
+		end := f.hit(s, own)
+		wg.Go(func() {
+			if end != nil {
+				time.Sleep(hold)
+				end()
+			}
+			<-slots
+		})
+	}
+	wg.Wait()
+}
+
+// heal ends every fault.
+func (s *soak) heal() {
+	for _, n := range s.world.Nodes {
+		n.Signal(syscall.SIGCONT)
+		s.world.Store.SetFault(n.Name, cooperative.Fine)
+		n.Store.Set(cooperative.Pass)
+		s.start(n)
+	}
+	for _, p := range s.world.WorkerProxies {
+		p.Set(cooperative.Pass)
+	}
+}
--- a/lib/desk/cycle.go
+++ b/lib/desk/cycle.go
@@ -282,14 +282,12 @@
 	for _, p := range c.Progress {
 		s.publishJob(p.Job)
 	}
+	for _, name := range c.Begun {
+		s.publishJob(name)
+	}
 	for _, name := range c.Removed {
 		s.jobs.Delete(name)
 	}
-	for _, n := range c.Notes {
-		if n.Job != "" {
-			s.publishJob(n.Job)
-		}
-	}
 	for _, r := range s.directory.Load().config.Routes {
 		s.queues.Set(r.Name, s.roster.Waiting(r.Name))
 	}
--- a/lib/roster/job.go
+++ b/lib/roster/job.go
@@ -89,6 +89,9 @@
 		return problem.New(problem.NotFound, problem.Detail{
 			Field: "queue", Value: string(t.Queue), Remedy: "use a queue of the configuration"})
 	}
+	if q.Priority == 0 {
+		r.urgent = now
+	}
 	t.Accepted = now
 	j := &job{Job: t, queue: q}
 	r.jobs[t.ID] = j
--- a/lib/roster/plan.go
+++ b/lib/roster/plan.go
@@ -192,10 +192,14 @@
 // late when they first have to stop other work.
 const headroom = 0.12
 
+// headroomTime is how long headroom is kept after the last job of the first
+// priority, so that a deployment without such jobs uses all it has.
+const headroomTime = 30 * time.Second
+
 // yields reports whether a group waits to leave headroom. It answers a load of
 // nearly all accelerators with bursts of the first priority.
 func (p *pass) yields(g *group) bool {
-	if g.job.queue.Priority == 0 || p.late(g.job) {
+	if g.job.queue.Priority == 0 || p.late(g.job) || p.now.Sub(p.r.urgent) > headroomTime {
 		return false
 	}
 	var free, all unit.Accelerators
--- a/lib/roster/roster.go
+++ b/lib/roster/roster.go
@@ -86,9 +86,11 @@
 type Changes struct {
 	Jobs     []task.Job
 	Progress []task.Progress
-	Removed  []id.Job
-	Orders   []Order
-	Notes    []Note
+	// Begun are jobs of which the first task has started.
+	Begun   []id.Job
+	Removed []id.Job
+	Orders  []Order
+	Notes   []Note
 }
 
 // Roster is the state. It is used by one goroutine at a time.
@@ -99,9 +101,11 @@
 	active  []*job // jobs that have not ended, in order of acceptance
 	workers map[id.Worker]*worker
 	runTime map[task.QueueName]*estimate
+	urgent  time.Time // when the last job of the first priority was accepted
 
 	fresh   []task.Job
 	dirty   map[id.Job]*job
+	begun   []id.Job
 	removed []id.Job
 	orders  []Order
 	notes   []Note
@@ -127,12 +131,12 @@
 
 // Take returns what has changed since the last call.
 func (r *Roster) Take() Changes {
-	c := Changes{Jobs: r.fresh, Removed: r.removed, Orders: r.orders, Notes: r.notes}
+	c := Changes{Jobs: r.fresh, Begun: r.begun, Removed: r.removed, Orders: r.orders, Notes: r.notes}
 	for _, j := range r.dirty {
 		c.Progress = append(c.Progress, j.progress())
 	}
 	clear(r.dirty)
-	r.fresh, r.removed, r.orders, r.notes = nil, nil, nil, nil
+	r.fresh, r.begun, r.removed, r.orders, r.notes = nil, nil, nil, nil, nil
 	return c
 }
 
--- a/lib/roster/worker.go
+++ b/lib/roster/worker.go
@@ -173,7 +173,8 @@
 		return
 	}
 	g := m.group
-	m.running, g.job.begun = true, true
+	m.running = true
+	r.begin(g.job)
 	if a.Saved != "" {
 		g.saved = a.Saved
 	}
@@ -187,6 +188,14 @@
 	}
 }
 
+// begin notes that a task of a job has started.
+func (r *Roster) begin(j *job) {
+	if !j.begun {
+		j.begun = true
+		r.begun = append(r.begun, j.ID)
+	}
+}
+
 func (r *Roster) heardEnd(now time.Time, w *worker, e task.End) {
 	m := w.find(e.Task, e.Run)
 	if m == nil {
@@ -302,7 +311,8 @@
 	g := m.group
 	switch a {
 	case Accepted:
-		m.running, g.job.begun = true, true
+		m.running = true
+		r.begin(g.job)
 		if !m.stop {
 			m.settled, m.advanced = now, now
 		}
--- /dev/null
+++ b/standin/cooperative/client.go
@@ -0,0 +1,66 @@
+package cooperative
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+)
+
+// Client calls nodes as the users' clients do.
+type Client struct {
+	http *http.Client
+}
+
+// callTimeout is how long clients wait for an answer.
+const callTimeout = 3 * time.Second
+
+// NewClient returns a client with connections of its own.
+func NewClient() *Client {
+	return &Client{http: &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 2}}}
+}
+
+// Call makes one call about a job. The status is zero when there is no answer.
+func (c *Client) Call(method, front string, queue int, job string, body any) (int, map[string]any) {
+	var reader io.Reader
+	if body != nil {
+		b, err := json.Marshal(body)
+		if err != nil {
+			panic(err) // only the test's own values are sent
+		}
+		reader = bytes.NewReader(b)
+	}
+	req, err := http.NewRequest(method, "http://"+front+Prefix(queue)+job, reader)
+	if err != nil {
+		return 0, nil
+	}
+	req.Host = Host
+	req.Header.Set("X-Api-Key", Key)
+	req.Header.Set("Bronzewinch-Deadline-Ms", fmt.Sprint(callTimeout.Milliseconds()))
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var v map[string]any
+	if err := json.NewDecoder(resp.Body).Decode(&v); err != nil {
+		return 0, nil // an answer that is cut off is none
+	}
+	return resp.StatusCode, v
+}
+
+// JobBody returns the body of a job with the steps, each after the one before.
+func JobBody(steps []Step) map[string]any {
+	var all []map[string]any
+	for i, s := range steps {
+		b := map[string]any{"count": s.Count, "gpu": s.GPU, "cpu": 500, "mem_mb": 256, "gang": s.Gang,
+			"estimate_ms": s.Work.Milliseconds()}
+		if i > 0 {
+			b["after"] = []int{i - 1}
+		}
+		all = append(all, b)
+	}
+	return map[string]any{"spec": "spec", "steps": all}
+}
--- /dev/null
+++ b/standin/cooperative/proxy.go
@@ -0,0 +1,154 @@
+package cooperative
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// ProxyMode is what a proxy does with the bytes of its connections.
+type ProxyMode int
+
+// The modes of a proxy.
+const (
+	// Pass forwards both ways.
+	Pass ProxyMode = iota
+	// Delay forwards after proxyDelay.
+	Delay
+	// Mute holds back what the target sends: a cut one way.
+	Mute
+	// Hold holds back everything, without closing connections.
+	Hold
+)
+
+const proxyDelay = 150 * time.Millisecond
+
+// Proxy forwards connections on loopback and disturbs them.
+type Proxy struct {
+	target   string
+	listener net.Listener
+
+	mu      sync.Mutex
+	mode    ProxyMode
+	changed chan struct{}
+	conns   map[net.Conn]struct{}
+}
+
+// NewProxy listens on an address and forwards to a target.
+func NewProxy(address, target string) (*Proxy, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	p := &Proxy{target: target, listener: l, changed: make(chan struct{}), conns: make(map[net.Conn]struct{})}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go p.serve(c)
+		}
+	}()
+	return p, nil
+}
+
+// Address is where the proxy listens.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
+
+// Set changes the mode for open and for new connections.
+func (p *Proxy) Set(m ProxyMode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = m
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// Reset closes all connections with a reset.
+func (p *Proxy) Reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
+// Close ends the proxy and its connections.
+func (p *Proxy) Close() {
+	_ = p.listener.Close()
+	p.Set(Pass)
+	p.Reset()
+}
+
+func (p *Proxy) track(c net.Conn, open bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if open {
+		p.conns[c] = struct{}{}
+	} else {
+		delete(p.conns, c)
+		_ = c.Close()
+	}
+}
+
+func (p *Proxy) serve(c net.Conn) {
+	p.track(c, true)
+	defer p.track(c, false)
+	t, err := net.DialTimeout("tcp", p.target, time.Second)
+	if err != nil {
+		return
+	}
+	p.track(t, true)
+	defer p.track(t, false)
+	done := make(chan struct{})
+	go func() {
+		p.pipe(c, t, false)
+		close(done)
+	}()
+	p.pipe(t, c, true)
+	<-done
+}
+
+// pipe forwards one direction. Answers are what the target sends.
+func (p *Proxy) pipe(to, from net.Conn, answers bool) {
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			p.await(answers)
+			if _, err := to.Write(buffer[:n]); err != nil {
+				break
+			}
+		}
+		if err != nil {
+			break
+		}
+	}
+	if t, ok := to.(*net.TCPConn); ok {
+		_ = t.CloseWrite()
+	}
+	_, _ = io.Copy(io.Discard, from) // until the peer closes, so that it is not reset
+}
+
+// await returns when bytes may go on.
+func (p *Proxy) await(answers bool) {
+	for {
+		p.mu.Lock()
+		mode, changed := p.mode, p.changed
+		p.mu.Unlock()
+		switch {
+		case mode == Hold, mode == Mute && answers:
+			<-changed
+		case mode == Delay:
+			time.Sleep(proxyDelay)
+			return
+		default:
+			return
+		}
+	}
+}
