Play the roster against simulated workers, and test each decision

Change: a simulation in virtual time checks every order of the roster under heavy load; table tests of ends, placement, claims, leaving, unreachable and reborn workers, restore and occurrences.

Found: a step with a bound on tasks per worker got one task per worker, since the bound was cut to the size of the group before the present tasks were taken off. Fixed; the placement test fails on the earlier code.

--- /dev/null
+++ b/lib/roster/claim_test.go
@@ -0,0 +1,117 @@
+package roster_test
+
+import (
+	"testing"
+	"time"
+
+	"bronzewinch.dev/lib/id"
+	"bronzewinch.dev/lib/roster"
+	"bronzewinch.dev/lib/task"
+	"bronzewinch.dev/lib/unit"
+
+	"github.com/matryer/is"
+)
+
+// claimSim returns a sim in which accounts a and b hold guarantees.
+func claimSim(t *testing.T, workers int, guaranteed unit.Accelerators) *sim {
+	t.Helper()
+	s := newSim(t, 1, workers)
+	rules := roster.Rules{Queues: make(map[task.QueueName]task.Queue),
+		Guaranteed: map[id.Account]unit.Accelerators{"a": guaranteed, "b": guaranteed}}
+	for p := range 3 {
+		rules.Queues[simQueue(p)] = task.Queue{Name: simQueue(p), Service: simService, Priority: task.Priority(p), Attempts: 4,
+			Slack: 2, Target: time.Second}
+	}
+	s.r.Configure(rules)
+	return s
+}
+
+func count(orders []roster.Order, kind roster.OrderKind) int {
+	n := 0
+	for _, o := range orders {
+		if o.Kind == kind {
+			n++
+		}
+	}
+	return n
+}
+
+// TestClaims guards against a guarantee that waits for lower work, against
+// guaranteed work that is stopped for other guaranteed work, and against work
+// that is stopped for a job worth less.
+func TestClaims(t *testing.T) {
+	gpus := func(n unit.Accelerators) unit.Resources { return unit.Resources{Accelerators: n, Cores: unit.Core} }
+	for _, test := range []struct {
+		name             string
+		filler, claimant task.Step
+		fillerAccount    id.Account
+		claimantAccount  id.Account
+		fillerPriority   int
+		priority         int // of the claimant
+		ran              time.Duration
+		stops            int
+	}{
+		{"guaranteed job takes lower work's room", task.Step{Tasks: 16, Demand: gpus(1)}, task.Step{Tasks: 1, Demand: gpus(8)}, "c", "a", 2, 0,
+			time.Minute, 8},
+		{"guaranteed job takes room beyond a guarantee", task.Step{Tasks: 16, Demand: gpus(1)}, task.Step{Tasks: 1, Demand: gpus(8)}, "c", "a", 0, 0,
+			time.Minute, 8},
+		{"guaranteed job leaves guaranteed work", task.Step{Tasks: 8, MaxPerWorker: 4, Demand: gpus(1)},
+			task.Step{Tasks: 1, Demand: gpus(8)}, "b", "a", 0, 0, time.Second, 0},
+		{"first priority takes cheap lower work", task.Step{Tasks: 16, Demand: gpus(1), Checkpoints: true},
+			task.Step{Tasks: 1, Demand: gpus(8), Estimate: 4 * time.Second}, "c", "c", 2, 0, time.Second, 8},
+		{"first priority leaves dear work", task.Step{Tasks: 16, Demand: gpus(1)},
+			task.Step{Tasks: 1, Demand: gpus(8), Estimate: time.Second}, "c", "c", 2, 0, time.Minute, 0},
+		{"second priority waits", task.Step{Tasks: 16, Demand: gpus(1)}, task.Step{Tasks: 1, Demand: gpus(8)}, "c", "c", 2, 1, time.Second, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := claimSim(t, 2, 8)
+			filler := single(1, test.filler)
+			filler.Account = test.fillerAccount
+			is.Equal(count(place(s, filler, test.fillerPriority), roster.Start), test.filler.Tasks)
+			s.now = s.now.Add(test.ran)
+			s.r.Granted("w-00", s.now)
+			s.r.Granted("w-01", s.now)
+			claimant := single(2, test.claimant)
+			claimant.Account = test.claimantAccount
+			is.Equal(count(place(s, claimant, test.priority), roster.Stop), test.stops)
+		})
+	}
+}
+
+// TestGuaranteedGangLeavesItsRack guards against a guaranteed gang that waits
+// for one rack beyond its bound, and against one that gives up at once the
+// rack in which it runs three times as fast.
+func TestGuaranteedGangLeavesItsRack(t *testing.T) {
+	is := is.New(t)
+	s := claimSim(t, 12, 48)
+	held := single(1, task.Step{Tasks: 6, MaxPerWorker: 1, Estimate: time.Minute, Demand: unit.Resources{Accelerators: 1, Cores: unit.Core}})
+	held.Account = "b"
+	for _, w := range []id.Worker{"w-03", "w-04", "w-05"} {
+		full := s.workers[w].Worker
+		full.Draining = true // keeps the held tasks on three workers of each rack
+		s.r.Listed(s.now, full)
+	}
+	place(s, held, 0)
+	gang := single(2, task.Step{Tasks: 6, Gang: true, SameRack: true, Estimate: time.Second,
+		Demand: unit.Resources{Accelerators: 8, Cores: unit.Core}})
+	gang.Account = "a"
+	starts := func() int {
+		s.r.Tick(s.now)
+		s.r.Plan(s.now)
+		return count(s.r.Take().Orders, roster.Start)
+	}
+	place(s, gang, 0)
+	s.now = s.now.Add(1400 * time.Millisecond)
+	is.Equal(starts(), 0)
+	for _, w := range []id.Worker{"w-03", "w-04", "w-05"} {
+		fresh := s.workers[w].Worker
+		fresh.ID += "x" // new workers of the rack that is still held by half
+		s.workers[fresh.ID] = &simWorker{Worker: fresh, runs: make(map[task.Name]*simRun)}
+		s.r.Listed(s.now, fresh)
+		s.report(s.workers[fresh.ID])
+	}
+	is.Equal(starts(), 0)
+	s.now = s.now.Add(200 * time.Millisecond)
+	is.Equal(starts(), 6)
+}
--- a/lib/roster/plan.go
+++ b/lib/roster/plan.go
@@ -278,17 +278,17 @@
 	if m.Service != g.job.queue.Service || s.Label != "" && !slices.Contains(m.Labels, s.Label) {
 		return 0
 	}
-	most := g.tasks
-	if s.MaxPerWorker > 0 {
-		most = min(most, s.MaxPerWorker)
-		for _, other := range m.members {
-			o := other.group
-			if o.job == g.job && o.occurrence == g.occurrence && o.step == g.step {
-				most--
-			}
+	if s.MaxPerWorker == 0 {
+		return g.tasks
+	}
+	most := s.MaxPerWorker
+	for _, other := range m.members {
+		o := other.group
+		if o.job == g.job && o.occurrence == g.occurrence && o.step == g.step {
+			most--
 		}
 	}
-	return max(0, most)
+	return min(g.tasks, max(0, most))
 }
 
 // sets returns the sets of rooms in which a group runs at full speed, best
--- a/lib/roster/roster.go
+++ b/lib/roster/roster.go
@@ -195,3 +195,12 @@
 
 // OrderTime returns the time after which an order must not be sent any more.
 func (o Order) OrderTime() time.Time { return o.Issued.Add(orderTime) }
+
+// Accepted returns the time at which a job was accepted.
+func (r *Roster) Accepted(name id.Job) (time.Time, bool) {
+	j, ok := r.jobs[name]
+	if !ok {
+		return time.Time{}, false
+	}
+	return j.Accepted, true
+}
--- /dev/null
+++ b/lib/roster/roster_test.go
@@ -0,0 +1,279 @@
+package roster_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bronzewinch.dev/lib/id"
+	"bronzewinch.dev/lib/roster"
+	"bronzewinch.dev/lib/task"
+	"bronzewinch.dev/lib/unit"
+
+	"github.com/matryer/is"
+)
+
+// single returns a job of one step.
+func single(n int, step task.Step) task.Job {
+	if step.Demand.IsZero() {
+		step.Demand = unit.Resources{Accelerators: 1, Cores: unit.Core}
+	}
+	return task.Job{ID: id.Job(fmt.Sprintf("%016x", n)), Account: "c", Spec: "s", Steps: []task.Step{step}}
+}
+
+// place submits a job and plans once. It returns the orders.
+func place(s *sim, j task.Job, priority int) []roster.Order {
+	s.submit(j, priority)
+	s.r.Plan(s.now)
+	return s.r.Take().Orders
+}
+
+func ended(s *sim, o roster.Order, how task.How) roster.Changes {
+	s.seq++
+	s.now = s.now.Add(time.Second)
+	s.r.Heard(s.now, s.now, task.Report{Worker: o.Worker, Incarnation: 1, Ends: []task.End{
+		{Seq: s.seq, Task: o.Task, Run: o.Run, How: how}}})
+	s.r.Tick(s.now)
+	s.r.Plan(s.now)
+	return s.r.Take()
+}
+
+// TestEndsOfRuns guards against attempts that are not counted, or counted for
+// ends that are not the task's fault.
+func TestEndsOfRuns(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		ends []task.How
+		want task.State
+	}{
+		{"done at once", []task.How{task.Done}, task.Completed},
+		{"done at the last attempt", []task.How{task.Faulted, task.Faulted, task.Faulted, task.Done}, task.Completed},
+		{"failed as often as allowed", []task.How{task.Faulted, task.Faulted, task.Faulted, task.Faulted}, task.Failed},
+		{"other ends don't count", []task.How{task.Stopped, task.Lapsed, task.Broken, task.Alone, task.Stopped, task.Done}, task.Completed},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSim(t, 1, 8)
+			orders := place(s, single(1, task.Step{Tasks: 1}), 1)
+			for i, how := range test.ends {
+				is.Equal(len(orders), 1)
+				is.Equal(orders[0].Kind, roster.Start)
+				is.Equal(orders[0].Run, task.Run(i+1))
+				orders = ended(s, orders[0], how).Orders
+			}
+			is.Equal(len(orders), 0)
+			status, ok := s.r.Status("0000000000000001")
+			is.True(ok)
+			is.Equal(status.State, test.want)
+		})
+	}
+}
+
+// TestCheckpointGoesOn guards against work that is lost though its progress
+// was saved.
+func TestCheckpointGoesOn(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, 2)
+	first := place(s, single(1, task.Step{Tasks: 1, Checkpoints: true}), 1)[0]
+	s.r.Heard(s.now, s.now, task.Report{Worker: first.Worker, Incarnation: 1, Ends: []task.End{
+		{Seq: 1, Task: first.Task, Run: 1, How: task.Stopped, Saved: "saved"}}})
+	s.r.Plan(s.now)
+	second := s.r.Take().Orders[0]
+	is.Equal(second.Saved, task.Checkpoint("saved"))
+	is.Equal(second.Run, task.Run(2))
+}
+
+// TestPlacement guards against starts where a job may not run, or runs badly.
+func TestPlacement(t *testing.T) {
+	whole := unit.Resources{Accelerators: 8, Cores: unit.Core}
+	for _, test := range []struct {
+		name   string
+		step   task.Step
+		starts int
+		check  func(orders []roster.Order) bool
+	}{
+		{"no worker has the label", task.Step{Tasks: 1, Label: "b"}, 0, nil},
+		{"the label of all", task.Step{Tasks: 1, Label: "a"}, 1, nil},
+		{"near its data", task.Step{Tasks: 2, DataRack: "r-1"}, 2, func(o []roster.Order) bool {
+			return o[0].Worker >= "w-06" && o[1].Worker >= "w-06"
+		}},
+		{"at most two on a worker", task.Step{Tasks: 6, MaxPerWorker: 2}, 6, func(o []roster.Order) bool {
+			n := make(map[id.Worker]int)
+			for _, x := range o {
+				n[x.Worker]++
+			}
+			return len(n) == 3
+		}},
+		{"gang in one rack", task.Step{Tasks: 6, Gang: true, SameRack: true, Demand: whole}, 6, func(o []roster.Order) bool {
+			for _, x := range o {
+				if (x.Worker >= "w-06") != (o[0].Worker >= "w-06") {
+					return false
+				}
+			}
+			return true
+		}},
+		{"gang that no rack holds", task.Step{Tasks: 7, Gang: true, SameRack: true, Demand: whole}, 7, nil},
+		{"gang that nothing holds", task.Step{Tasks: 13, Gang: true, Demand: whole}, 0, nil},
+		{"more than there is room for", task.Step{Tasks: 13, Demand: whole}, 12, nil},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSim(t, 1, 12)
+			orders := place(s, single(1, test.step), 1)
+			is.Equal(len(orders), test.starts)
+			if test.check != nil {
+				is.True(test.check(orders))
+			}
+		})
+	}
+}
+
+// TestDrainingWorker guards against starts on a worker that leaves, and against
+// progress that is lost with it.
+func TestDrainingWorker(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, 2)
+	first := place(s, single(1, task.Step{Tasks: 1, Checkpoints: true}), 1)[0]
+	leaving := s.workers[first.Worker].Worker
+	leaving.Draining = true
+	s.r.Listed(s.now, leaving)
+	s.r.Plan(s.now)
+	stop := s.r.Take().Orders
+	is.Equal(len(stop), 1)
+	is.Equal(stop[0].Kind, roster.Stop)
+	for _, o := range place(s, single(2, task.Step{Tasks: 16}), 1) {
+		is.True(o.Worker != first.Worker)
+	}
+}
+
+// TestUnreachableWorker guards against a task that starts elsewhere while its
+// run may go on, and against one that never starts again.
+func TestUnreachableWorker(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, 2)
+	first := place(s, single(1, task.Step{Tasks: 1}), 1)[0]
+	s.r.Answered(s.now, first, roster.Accepted)
+	s.r.Granted(first.Worker, s.now)
+	s.r.Take()
+	pass := func(d time.Duration) []roster.Order {
+		s.now = s.now.Add(d)
+		s.r.Tick(s.now)
+		s.r.Plan(s.now)
+		return s.r.Take().Orders
+	}
+	// The start may be sent for another three seconds, and its lease lasts six
+	// seconds on a clock that is 2% slow.
+	is.Equal(len(pass(9*time.Second)), 0)
+	again := pass(time.Second)
+	is.Equal(len(again), 1)
+	is.Equal(again[0].Run, task.Run(2))
+}
+
+// TestRebornWorker guards against runs that are awaited on a worker that has
+// started anew under its id.
+func TestRebornWorker(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, 1)
+	first := place(s, single(1, task.Step{Tasks: 1}), 1)[0]
+	reborn := s.workers[first.Worker].Worker
+	reborn.Incarnation = 2
+	s.r.Listed(s.now, reborn)
+	s.r.Plan(s.now)
+	again := s.r.Take().Orders
+	is.Equal(len(again), 1)
+	is.Equal(again[0].Incarnation, task.Incarnation(2))
+}
+
+// TestUnansweredStart guards against a gang that runs with some members: one
+// start that may be carried out late stops the others.
+func TestUnansweredStart(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, 3)
+	orders := place(s, single(1, task.Step{Tasks: 3, Gang: true, Demand: unit.Resources{Accelerators: 8, Cores: 1}}), 1)
+	is.Equal(len(orders), 3)
+	s.r.Answered(s.now, orders[0], roster.Accepted)
+	s.r.Answered(s.now, orders[1], roster.Unanswered)
+	stops := s.r.Take().Orders
+	is.Equal(len(stops), 3)
+	for _, o := range stops {
+		is.Equal(o.Kind, roster.Stop)
+	}
+}
+
+// TestBarredWorker guards against a worker that fails every job it gets.
+func TestBarredWorker(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, 2)
+	bad := id.Worker("w-00")
+	for n := range 2 {
+		for _, o := range place(s, single(n, task.Step{Tasks: 1, Demand: unit.Resources{Accelerators: 8, Cores: 1}}), 1) {
+			if o.Worker == bad {
+				ended(s, o, task.Faulted)
+			}
+		}
+	}
+	s.r.Heard(s.now, s.now, task.Report{Worker: bad, Incarnation: 1})
+	for _, o := range place(s, single(9, task.Step{Tasks: 16}), 1) {
+		is.True(o.Worker != bad)
+	}
+}
+
+// TestStrayRun guards against a run that goes on though no record has it.
+func TestStrayRun(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, 1)
+	stray := task.Name{Job: "00000000000000ff"}
+	s.r.Heard(s.now, s.now, task.Report{Worker: "w-00", Incarnation: 1, Active: []task.Active{{Task: stray, Run: 4}}})
+	orders := s.r.Take().Orders
+	is.Equal(len(orders), 1)
+	is.Equal(orders[0].Kind, roster.Stop)
+	is.Equal(orders[0].Task, stray)
+}
+
+// TestRestore guards against a new owner that forgets what is done, starts
+// again what may run, or reuses a run number.
+func TestRestore(t *testing.T) {
+	is := is.New(t)
+	old := newSim(t, 1, 2)
+	orders := place(old, single(1, task.Step{Tasks: 3, Checkpoints: true}), 1)
+	ended(old, orders[0], task.Done)
+	old.r.Answered(old.now, orders[1], roster.Accepted)
+	ended(old, orders[2], task.Faulted)
+	j := old.jobs["0000000000000001"]
+	progress := task.Progress{Job: j.ID, Occurrences: []task.OccurrenceProgress{{Groups: []task.GroupProgress{
+		{Done: true, Run: 1}, {Run: 1, Places: []task.Place{{Index: 1, Worker: "w-00", Incarnation: 1}}}, {Run: 1, Failures: 1, Checkpoint: "x"}}}}}
+	s := newSim(t, 2, 2)
+	s.r.Restore(s.now, s.now.Add(time.Minute), j, progress)
+	s.r.Resume(s.now)
+	s.r.Plan(s.now)
+	started := s.r.Take().Orders
+	is.Equal(len(started), 1)
+	is.Equal(started[0].Task.Index, 2)
+	is.Equal(started[0].Run, task.Run(2))
+	is.Equal(started[0].Saved, task.Checkpoint("x"))
+	// The worker has no such run any more.
+	s.now = s.now.Add(time.Second)
+	s.r.Heard(s.now, s.now, task.Report{Worker: "w-00", Incarnation: 1})
+	s.r.Plan(s.now)
+	is.Equal(s.r.Take().Orders[0].Run, task.Run(2))
+}
+
+// TestOccurrences guards against occurrences that start early, or that end a
+// job before the last one.
+func TestOccurrences(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, 1)
+	j := single(1, task.Step{Tasks: 1, Estimate: time.Second})
+	j.Occurrences, j.First, j.Interval = 2, s.now.Add(3*time.Second), 2*time.Second
+	s.submit(j, 1)
+	s.advance(2900 * time.Millisecond)
+	is.Equal(len(s.highest), 0)
+	s.advance(1500 * time.Millisecond)
+	is.Equal(len(s.highest), 1)
+	status, _ := s.r.Status(j.ID)
+	is.Equal(status.State, task.Running)
+	s.advance(3 * time.Second)
+	is.Equal(len(s.highest), 2)
+	status, _ = s.r.Status(j.ID)
+	is.Equal(status.State, task.Completed)
+}
--- /dev/null
+++ b/lib/roster/sim_test.go
@@ -0,0 +1,418 @@
+package roster_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"bronzewinch.dev/lib/id"
+	"bronzewinch.dev/lib/roster"
+	"bronzewinch.dev/lib/task"
+	"bronzewinch.dev/lib/unit"
+)
+
+// sim plays a roster against workers in virtual time, and checks every order
+// that the roster gives.
+type sim struct {
+	t       *testing.T
+	r       *roster.Roster
+	random  *rand.Rand
+	now     time.Time
+	workers map[id.Worker]*simWorker
+	jobs    map[id.Job]task.Job
+	started map[id.Job]time.Time // first start of each job
+	over    map[id.Job]time.Time
+	done    map[task.Name]bool
+	highest map[task.Name]task.Run
+	placed  map[task.Name]id.Worker // the last start of each task
+	stopped map[task.Priority]int   // runs that were ordered to stop
+	gangs   map[string]int          // members present of each run of a gang
+	failing float64                 // share of runs that fail
+	seq     task.EndSeq
+}
+
+type simWorker struct {
+	task.Worker
+	runs map[task.Name]*simRun
+	ends []task.End
+}
+
+type simRun struct {
+	run  task.Run
+	job  task.Job
+	step task.Step
+	name task.Name
+	ends time.Time // zero while a gang waits
+	how  task.How
+	work time.Duration
+	done time.Duration
+}
+
+const (
+	simStep     = 10 * time.Millisecond
+	simStopTime = 400 * time.Millisecond
+	simService  = "service"
+)
+
+var simConfig = roster.Config{HoldMax: 6 * time.Second, RemoteFactor: 3, Keep: time.Hour, Restore: 600 * time.Millisecond,
+	Reclaim: 2900 * time.Millisecond, StopTime: simStopTime}
+
+func newSim(t *testing.T, seed uint64, workers int) *sim {
+	t.Helper()
+	s := &sim{t: t, r: roster.New(simConfig), random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0),
+		workers: make(map[id.Worker]*simWorker), jobs: make(map[id.Job]task.Job), started: make(map[id.Job]time.Time),
+		over: make(map[id.Job]time.Time), done: make(map[task.Name]bool), highest: make(map[task.Name]task.Run),
+		placed: make(map[task.Name]id.Worker), stopped: make(map[task.Priority]int), gangs: make(map[string]int)}
+	rules := roster.Rules{Queues: make(map[task.QueueName]task.Queue), Guaranteed: map[id.Account]unit.Accelerators{
+		"a": unit.Accelerators(workers * 8 * 3 / 10), "b": unit.Accelerators(workers * 8 * 3 / 10)}}
+	for p := range 3 {
+		name := simQueue(p)
+		rules.Queues[name] = task.Queue{Name: name, Service: simService, Priority: task.Priority(p), Attempts: 4,
+			Slack: []float64{1.5, 3, 3}[p], Target: 250 * time.Millisecond}
+	}
+	s.r.Configure(rules)
+	for i := range workers {
+		w := &simWorker{runs: make(map[task.Name]*simRun), Worker: task.Worker{ID: id.Worker(fmt.Sprintf("w-%02d", i)),
+			Service: simService, Rack: id.Rack(fmt.Sprintf("r-%d", i/6)), Incarnation: 1, Labels: []string{"a"},
+			Capacity: unit.Resources{Accelerators: 8, Cores: 32 * unit.Core, Memory: 128 * unit.GiB}}}
+		s.workers[w.ID] = w
+		s.r.Listed(s.now, w.Worker)
+		s.report(w)
+	}
+	return s
+}
+
+func simQueue(priority int) task.QueueName { return task.QueueName(fmt.Sprintf("q%d", priority)) }
+
+func (s *sim) report(w *simWorker) {
+	rep := task.Report{Worker: w.ID, Incarnation: 1, Ends: w.ends}
+	w.ends = nil
+	for _, run := range w.runs {
+		rep.Active = append(rep.Active, task.Active{Task: run.name, Run: run.run,
+			Percent: task.Percent(100 * run.done / run.work)})
+	}
+	s.r.Granted(w.ID, s.now)
+	s.r.Heard(s.now, s.now, rep)
+}
+
+func (s *sim) submit(j task.Job, priority int) {
+	j.Queue = simQueue(priority)
+	s.jobs[j.ID] = j
+	if err := s.r.Submit(s.now, j); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// advance plays the time d in small steps.
+func (s *sim) advance(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.now = s.now.Add(simStep)
+		for _, w := range s.workers {
+			s.run(w)
+		}
+		s.r.Tick(s.now)
+		s.r.Plan(s.now)
+		c := s.r.Take()
+		for _, o := range c.Orders {
+			s.order(o)
+		}
+		for _, p := range c.Progress {
+			s.progress(p)
+		}
+	}
+}
+
+func (s *sim) progress(p task.Progress) {
+	if !p.State.Ended() {
+		return
+	}
+	if _, ok := s.over[p.Job]; !ok {
+		s.over[p.Job] = s.now
+	}
+	if p.State != task.Completed {
+		return
+	}
+	for i, step := range s.jobs[p.Job].Steps {
+		for k := range step.Tasks {
+			if !s.done[task.Name{Job: p.Job, Step: i, Index: k}] && !step.Gang {
+				s.t.Fatalf("job %s is completed without task %d of step %d", p.Job, k, i)
+			}
+		}
+	}
+}
+
+// run lets the runs of a worker go on, and reports when something ended or
+// two seconds have passed.
+func (s *sim) run(w *simWorker) {
+	for _, run := range w.runs {
+		if run.ends.IsZero() {
+			continue
+		}
+		run.done += simStep
+		if !s.now.Before(run.ends) {
+			s.finish(w, run, run.how)
+		}
+	}
+	if len(w.ends) > 0 || s.now.UnixMilli()%2000 == 0 {
+		s.report(w)
+	}
+}
+
+func (s *sim) finish(w *simWorker, run *simRun, how task.How) {
+	if w.runs[run.name] != run {
+		return
+	}
+	delete(w.runs, run.name)
+	s.seq++
+	w.ends = append(w.ends, task.End{Seq: s.seq, Task: run.name, Run: run.run, How: how})
+	if how == task.Done {
+		s.done[run.name] = true
+	}
+	if !run.step.Gang {
+		return
+	}
+	delete(s.gangs, gangKey(run))
+	for _, other := range s.workers {
+		for _, m := range other.runs {
+			if m.name.Job == run.name.Job && m.name.Step == run.name.Step && m.run == run.run {
+				next := task.Broken
+				if how == task.Done {
+					next = task.Done
+				}
+				s.finish(other, m, next)
+			}
+		}
+	}
+}
+
+func gangKey(r *simRun) string { return fmt.Sprintf("%s.%d.%d", r.name.Job, r.name.Step, r.run) }
+
+// order carries out an order and checks it.
+func (s *sim) order(o roster.Order) {
+	w := s.workers[o.Worker]
+	if o.Kind == roster.Stop {
+		s.stopped[priorityOf(s.jobs[o.Task.Job])]++
+		if run := w.runs[o.Task]; run != nil && run.run == o.Run {
+			run.ends, run.how = s.now.Add(simStopTime), task.Stopped
+		}
+		s.r.Answered(s.now, o, roster.Accepted)
+		return
+	}
+	job := s.jobs[o.Task.Job]
+	step := job.Steps[o.Task.Step]
+	s.check(w, o, job, step)
+	run := &simRun{run: o.Run, job: job, step: step, name: o.Task, how: task.Done, work: step.Estimate}
+	if s.random.Float64() < s.failing {
+		run.how = task.Faulted
+	}
+	w.runs[o.Task] = run
+	if _, ok := s.started[job.ID]; !ok {
+		s.started[job.ID] = s.now
+	}
+	s.r.Answered(s.now, o, roster.Accepted)
+	if !step.Gang {
+		run.ends = s.now.Add(run.work)
+		return
+	}
+	s.gangs[gangKey(run)]++
+	if s.gangs[gangKey(run)] == step.Tasks {
+		for _, other := range s.workers {
+			for _, m := range other.runs {
+				if gangKey(m) == gangKey(run) {
+					m.ends = s.now.Add(m.work)
+				}
+			}
+		}
+	}
+}
+
+func (s *sim) check(w *simWorker, o roster.Order, job task.Job, step task.Step) {
+	used := step.Demand
+	same := 1
+	for name, run := range w.runs {
+		used = used.Plus(run.step.Demand)
+		if name.Job == o.Task.Job && name.Step == o.Task.Step {
+			same++
+		}
+	}
+	switch {
+	case !used.Fits(w.Capacity):
+		s.t.Fatalf("task %s does not fit on %s: %v", o.Task, w.ID, used)
+	case s.done[o.Task]:
+		s.t.Fatalf("task %s starts after its success", o.Task)
+	case o.Run <= s.highest[o.Task]:
+		s.t.Fatalf("run %d of task %s does not rise above %d", o.Run, o.Task, s.highest[o.Task])
+	case step.MaxPerWorker > 0 && same > step.MaxPerWorker:
+		s.t.Fatalf("%d tasks of step %d of job %s on %s", same, o.Task.Step, job.ID, w.ID)
+	}
+	for _, before := range step.After {
+		for k := range job.Steps[before].Tasks {
+			if !s.done[task.Name{Job: job.ID, Step: before, Index: k}] && !job.Steps[before].Gang {
+				s.t.Fatalf("task %s starts before step %d is done", o.Task, before)
+			}
+		}
+	}
+	for _, other := range s.workers {
+		if run := other.runs[o.Task]; run != nil {
+			s.t.Fatalf("task %s runs on %s and %s", o.Task, other.ID, w.ID)
+		}
+	}
+	s.highest[o.Task], s.placed[o.Task] = o.Run, w.ID
+}
+
+func priorityOf(j task.Job) task.Priority { return task.Priority(j.Queue[1] - '0') }
+
+// randomJob returns a job like those of the users' sheets.
+func (s *sim) randomJob(n, priority int) task.Job {
+	gpus := []unit.Accelerators{1, 2, 4, 8, 8}[s.random.IntN(5)]
+	step := task.Step{Tasks: 1 + s.random.IntN(6), Gang: priority < 2, SameRack: priority < 2 && s.random.IntN(2) == 0,
+		Estimate: time.Duration(1000+s.random.IntN(4000)) * time.Millisecond}
+	if priority == 2 {
+		gpus, step.Tasks = 1, 1+s.random.IntN(30)
+		step.MaxPerWorker = s.random.IntN(3) * 3
+	}
+	step.Demand = unit.Resources{Accelerators: gpus, Cores: 2 * unit.Core, Memory: unit.GiB}
+	j := task.Job{ID: id.Job(fmt.Sprintf("%016x", n)), Account: []id.Account{"a", "b", "c"}[s.random.IntN(3)], Spec: "s",
+		Steps: []task.Step{step}}
+	if priority == 2 && s.random.IntN(3) == 0 {
+		next := step
+		next.After = []int{0}
+		j.Steps = append(j.Steps, next)
+	}
+	return j
+}
+
+// load submits jobs at a rate for each priority and plays the time d.
+func (s *sim) load(d time.Duration, perSecond [3]float64) {
+	n := len(s.jobs)
+	for end := s.now.Add(d); s.now.Before(end); {
+		for p, rate := range perSecond {
+			if s.random.Float64() < rate*0.1 {
+				s.submit(s.randomJob(n, p), p)
+				n++
+			}
+		}
+		s.advance(100 * time.Millisecond)
+	}
+}
+
+// TestOrdersKeepPromises guards against orders that overfill a worker, run a
+// task twice, start a step too early, or leave a job unfinished, under heavy
+// load with failing runs and cancels.
+func TestOrdersKeepPromises(t *testing.T) {
+	for seed := range uint64(8) {
+		s := newSim(t, seed, 12)
+		s.failing = 0.03
+		s.load(30*time.Second, [3]float64{0.8, 0.4, 0.4})
+		for name := range s.jobs {
+			if s.random.IntN(10) == 0 {
+				if err := s.r.Cancel(s.now, name); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		s.advance(4 * time.Minute)
+		for name := range s.jobs {
+			if _, ok := s.over[name]; !ok {
+				status, _ := s.r.Status(name)
+				t.Errorf("seed %d: job %s is not over: %v %+v", seed, name, status, s.jobs[name].Steps)
+			}
+		}
+	}
+}
+
+// TestGuaranteedStartsOnCalmDay guards against guaranteed jobs that wait while
+// there is room. The target is a start within 250 ms for 95 of 100.
+func TestGuaranteedStartsOnCalmDay(t *testing.T) {
+	s := newSim(t, 5, 48)
+	s.load(60*time.Second, [3]float64{1.2, 0.4, 0.2})
+	if p95 := s.percentileStart(0, 0.95); p95 > 250*time.Millisecond {
+		t.Errorf("95th percentile of the start is %v", p95)
+	}
+}
+
+// TestGuaranteeUnderOverload guards against a guarantee that is not reclaimed
+// in time from work that fills all workers.
+func TestGuaranteeUnderOverload(t *testing.T) {
+	s := newSim(t, 6, 24)
+	for n := range 40 {
+		s.submit(task.Job{ID: id.Job(fmt.Sprintf("%016x", 1000+n)), Account: "c", Steps: []task.Step{{Tasks: 20,
+			Estimate: 30 * time.Second, Demand: unit.Resources{Accelerators: 1, Cores: unit.Core}}}}, 2)
+	}
+	s.advance(2 * time.Second)
+	for n := range 20 {
+		j := task.Job{ID: id.Job(fmt.Sprintf("%016x", n)), Account: []id.Account{"a", "b"}[n%2], Steps: []task.Step{{Tasks: 3,
+			Gang: true, SameRack: true, Estimate: 2 * time.Second, Demand: unit.Resources{Accelerators: 8, Cores: unit.Core}}}}
+		submitted := s.now
+		s.submit(j, 0)
+		s.advance(2900 * time.Millisecond)
+		if at, ok := s.started[j.ID]; !ok {
+			t.Errorf("job %s has not started after %v", j.ID, s.now.Sub(submitted))
+		} else if late := at.Sub(submitted); late > simConfig.Reclaim {
+			t.Errorf("job %s started after %v", j.ID, late)
+		}
+		if racks := s.racks(j.ID); racks != 1 {
+			t.Errorf("job %s runs on %d racks; it takes three times as long there", j.ID, racks)
+		}
+	}
+	if s.stopped[0] > 0 {
+		t.Errorf("%d runs of guaranteed jobs were stopped for others", s.stopped[0])
+	}
+}
+
+// racks returns the number of racks on which a job's tasks were started.
+func (s *sim) racks(name id.Job) int {
+	racks := make(map[id.Rack]struct{})
+	for o, w := range s.placed {
+		if o.Job == name {
+			racks[s.workers[w].Rack] = struct{}{}
+		}
+	}
+	return len(racks)
+}
+
+// TestHeadroom guards against lower work that fills the workers although it
+// could wait for the first priority, and against accelerators that stay idle
+// for a first priority that does not come.
+func TestHeadroom(t *testing.T) {
+	fill := task.Step{Tasks: 400, Estimate: 5 * time.Second}
+	for _, test := range []struct {
+		name   string
+		wait   time.Duration // between the last job of the first priority and the others
+		age    time.Duration // of the other jobs
+		starts int
+	}{
+		{"work that can wait", time.Second, 0, 84},
+		{"work that is nearly late", time.Second, 12 * time.Second, 96},
+		{"no first priority for long", 40 * time.Second, 0, 96},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newSim(t, 7, 12)
+			s.submit(single(1, task.Step{Tasks: 1, Estimate: time.Second / 2}), 0)
+			s.advance(test.wait)
+			s.submit(single(2, fill), 2)
+			s.advance(time.Second/2 + test.age)
+			used := 0
+			for _, w := range s.workers {
+				used += len(w.runs)
+			}
+			if used != test.starts {
+				t.Errorf("%d of 96 accelerators are used instead of %d", used, test.starts)
+			}
+		})
+	}
+}
+
+func (s *sim) percentileStart(priority int, share float64) time.Duration {
+	var waits []time.Duration
+	for name, j := range s.jobs {
+		if at, ok := s.started[name]; ok && j.Queue == simQueue(priority) {
+			accepted, _ := s.r.Accepted(name)
+			waits = append(waits, at.Sub(accepted))
+		}
+	}
+	slices.Sort(waits)
+	return waits[int(share*float64(len(waits)))]
+}
