--- a/bronzewinchd/platform.go
+++ b/bronzewinchd/platform.go
@@ -126,6 +126,10 @@
 	}
 }
 
+// graceMargin is the part of the grace time that is left for the last steps of
+// a stop on a slow VM.
+const graceMargin = 2 * time.Second
+
 // lingerTime is how long a stopping node still serves, so that the platform
 // has noticed that it is not ready any more.
 const lingerTime = 2500 * time.Millisecond
@@ -143,10 +147,10 @@
 	klog.InfoS("node started", "event", "start", "node", n.Settings.Node, "zone", n.Settings.Zone, "version", version)
 	n.awaitStop(ctx, reload)
 	klog.InfoS("node stops", "event", "stop", "node", n.Settings.Node)
+	ending, cancel := context.WithTimeout(context.Background(), n.Settings.Grace-graceMargin)
+	defer cancel()
 	n.Gate.Leave()
 	n.Tenure.Close()
-	ending, cancel := context.WithTimeout(context.Background(), n.Settings.Grace-time.Second)
-	defer cancel()
 	_ = timer.Sleep(ending, timer.NewSystem(), lingerTime)
 	front.Close(ending)
 	n.Gate.Close()
