Start failed gangs again, meet all workers first, keep serving tasks at work

It had failed on three of four workers, and the one left had no room for it. Placement dropped workers of earlier failures as soon as one other was left; now they come last.

It now waits up to 0.4 s for them.

A repeated submission was refused while the first attempt waited for the store; it is told unknown, or accepted if the job is known.

Tasks that serve until they are cancelled rank before other work of their priority, may stop work that can be repeated, leave a draining worker, and are stopped for a guarantee only while their step may miss one more. Room kept for one task of a step no longer ends the search for the others.

Each fault has a test that fails on the earlier code.

--- a/bwbench/soakbench/soak_test.go
+++ b/bwbench/soakbench/soak_test.go
@@ -7,13 +7,16 @@
 	"bronzewinch.dev/bwbench/soakbench"
 )
 
-// TestSoak guards against promises that break when faults overlap. The seeds
-// are those of earlier findings and one more.
+// TestSoak guards against promises that break when faults overlap. Each
+// seed has failed once; the comment tells why.
 func TestSoak(t *testing.T) {
 	if testing.Short() {
 		t.Skip("takes a minute")
 	}
-	for _, seed := range []uint64{1} {
+	seeds := []uint64{
+		1, // a gang that had failed on all workers with room never started again
+	}
+	for _, seed := range seeds {
 		r, err := soakbench.Soak(soakbench.Config{Seed: seed, Time: 15 * time.Second, Nodes: 3, Workers: 4, Dir: t.TempDir()})
 		if err != nil {
 			t.Fatal(err)
--- a/lib/desk/cycle.go
+++ b/lib/desk/cycle.go
@@ -70,7 +70,10 @@
 	} else {
 		reply = s.cancel(now, e.call)
 	}
-	b.replies = append(b.replies, func() { e.reply <- reply })
+	b.replies = append(b.replies, func() {
+		s.pending.Delete(e.job)
+		e.reply <- reply
+	})
 }
 
 func (s *session) submit(now time.Time, c call) Reply {
--- a/lib/desk/desk.go
+++ b/lib/desk/desk.go
@@ -162,11 +162,20 @@
 	case req.Verb == Look:
 		return s.look(c)
 	}
+	if status, ok := s.jobs.Get(c.job); ok && req.Verb == Submit && status.Queue == c.route.Name {
+		return Reply{Outcome: OK}
+	}
+	unknown := Reply{Outcome: Unknown, Detail: "send the call again with the same id; it may have been carried out"}
 	if s.stalled.Load() {
+		if _, ok := s.pending.Get(c.job); ok {
+			return unknown // an earlier attempt may yet be stored
+		}
 		return refused
 	}
 	e := &callEvent{call: c, reply: make(chan Reply, 1)}
+	s.pending.Set(c.job, struct{}{})
 	if err := s.events.Put(e); err != nil {
+		s.pending.Delete(c.job)
 		return refused
 	}
 	select {
@@ -181,7 +190,7 @@
 		default:
 		}
 	}
-	return Reply{Outcome: Unknown, Detail: "send the call again with the same id; it may have been carried out"}
+	return unknown
 }
 
 // session is one time of ownership.
@@ -194,6 +203,7 @@
 	confirmed atomic.Int64 // timer.Boot when the directory was last known to be the newest
 	stalled   atomic.Bool
 	jobs      *shard.Map[id.Job, roster.Status]
+	pending   *shard.Map[id.Job, struct{}] // jobs of calls that wait for a cycle
 	queues    *shard.Map[task.QueueName, int]
 	links     *shard.Map[id.Worker, *link]
 	commit    kv.Version
@@ -229,7 +239,8 @@
 	s := &session{
 		desk: d, term: term, roster: roster.New(d.config.Roster), events: pipe.NewQueue[event](eventLimit),
 		jobs: shard.NewMap[id.Job, roster.Status](), queues: shard.NewMap[task.QueueName, int](),
-		links: shard.NewMap[id.Worker, *link](), commit: term.Commit, over: make(chan struct{}),
+		pending: shard.NewMap[id.Job, struct{}](),
+		links:   shard.NewMap[id.Worker, *link](), commit: term.Commit, over: make(chan struct{}),
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer s.wg.Wait()
--- a/lib/desk/desk_test.go
+++ b/lib/desk/desk_test.go
@@ -135,3 +135,18 @@
 	is.NoErr(err)
 	is.Equal(mark.Fence, task.Fence(2))
 }
+
+// TestNoRefusalOfPendingJob guards against a job that runs though a repeated
+// submission was told that it does not: the first attempt waits for the store.
+func TestNoRefusalOfPendingJob(t *testing.T) {
+	is := is.New(t)
+	d := serve(t, newFakeStore(), newFakeWorkers())
+	d.store.set(true, false)
+	first := make(chan desk.Outcome, 1)
+	go func() { first <- d.submit(jobA).Outcome }()
+	time.Sleep(time.Second) // the owner now refuses what it does not have
+	is.Equal(d.submit(jobA).Outcome, desk.Unknown)
+	is.Equal(d.submit(jobB).Outcome, desk.Refused)
+	d.store.set(false, false)
+	is.Equal(<-first, desk.OK)
+}
--- a/lib/roster/claim.go
+++ b/lib/roster/claim.go
@@ -18,7 +18,7 @@
 			best = e
 		}
 	}
-	if best == nil || !p.protected[g.job] && best.cost > p.worth(g) {
+	if best == nil || !p.protected[g.job] && !g.spec().Service && best.cost > p.worth(g) {
 		return nil
 	}
 	for _, victim := range best.victims {
@@ -95,8 +95,7 @@
 	var candidates []*group
 	for _, mem := range m.members {
 		v := mem.group
-		lower := p.protected[g.job] || v.job.queue.Priority > g.job.queue.Priority
-		if !lower || mem.stop || v.stopping || v.done || p.protected[v.job] || v.spec().Service || slices.Contains(chosen, v) {
+		if mem.stop || v.stopping || v.done || !p.mayStop(g, v) || slices.Contains(chosen, v) {
 			continue
 		}
 		if gain[v] == 0 {
@@ -119,6 +118,50 @@
 	return victims, cost, demand.Fits(later)
 }
 
+// mayStop reports whether work of group v may be stopped for group g. A task
+// that serves until it is cancelled comes before work that can be repeated, and
+// is itself stopped only while its step may miss one more.
+func (p *pass) mayStop(g, v *group) bool {
+	switch {
+	case p.protected[v.job]:
+		return false
+	case v.spec().Service:
+		return p.protected[g.job] && p.mayMiss(v)
+	case p.protected[g.job] || v.job.queue.Priority > g.job.queue.Priority:
+		return true
+	}
+	return g.spec().Service
+}
+
+// mayMiss reports whether one more task of a group's step may be away. Tasks
+// that this pass has already chosen count as away, as they are stopping.
+func (p *pass) mayMiss(v *group) bool {
+	s := v.spec()
+	if s.MaxAway == 0 {
+		return true
+	}
+	away := 0
+	for _, other := range v.occurrence.steps[v.step] {
+		if other != v && !other.atWork() {
+			away++
+		}
+	}
+	return away < s.MaxAway
+}
+
+// atWork reports whether all members of a group are past their startup.
+func (g *group) atWork() bool {
+	if len(g.members) < g.tasks || g.stopping {
+		return false
+	}
+	for _, m := range g.members {
+		if m.percent < 100 {
+			return false
+		}
+	}
+	return true
+}
+
 // worth is the most work in core-seconds that may be lost for a group that is
 // not guaranteed: as much as it brings itself.
 func (p *pass) worth(g *group) float64 {
--- a/lib/roster/claim_test.go
+++ b/lib/roster/claim_test.go
@@ -115,3 +115,53 @@
 	s.now = s.now.Add(200 * time.Millisecond)
 	is.Equal(starts(), 6)
 }
+
+// TestServiceTasks guards against tasks that serve until they are cancelled
+// and stay away, end their job, or are stopped beyond what their step may miss.
+func TestServiceTasks(t *testing.T) {
+	is := is.New(t)
+	s := claimSim(t, 2, 16)
+	serving := single(1, task.Step{Tasks: 2, MaxPerWorker: 1, Service: true, MaxAway: 1,
+		Demand: unit.Resources{Accelerators: 4, Cores: unit.Core}})
+	is.Equal(count(place(s, single(2, task.Step{Tasks: 16}), 1), roster.Start), 16)
+	// Work that can be repeated makes room.
+	is.Equal(count(place(s, serving, 1), roster.Stop), 8)
+	s.r.Plan(s.now)
+	for _, w := range s.workers {
+		var ends []task.End
+		for i := range 16 {
+			s.seq++
+			ends = append(ends, task.End{Seq: s.seq, Task: task.Name{Job: "0000000000000002", Index: i}, Run: 1, How: task.Stopped})
+		}
+		s.r.Heard(s.now, s.now, task.Report{Worker: w.ID, Incarnation: 1, Ends: ends})
+	}
+	s.r.Plan(s.now)
+	var serve []roster.Order
+	for _, o := range s.r.Take().Orders {
+		if o.Kind == roster.Start && o.Task.Job == serving.ID {
+			serve = append(serve, o)
+		}
+	}
+	is.Equal(len(serve), 2)
+	for _, o := range serve {
+		s.r.Heard(s.now, s.now, task.Report{Worker: o.Worker, Incarnation: 1, Active: []task.Active{{Task: o.Task, Run: o.Run, Percent: 100}}})
+	}
+	// A guaranteed job that needs both workers gets only what the step may miss.
+	guaranteed := single(3, task.Step{Tasks: 2, Demand: unit.Resources{Accelerators: 8, Cores: unit.Core}})
+	guaranteed.Account = "a"
+	stopped := 0
+	for _, o := range place(s, guaranteed, 0) {
+		if o.Kind == roster.Stop && o.Task.Job == serving.ID {
+			stopped++
+		}
+	}
+	is.Equal(stopped, 1)
+	// A task that ends by itself starts again, whatever its end.
+	o := serve[0]
+	if s.workers[o.Worker] == nil {
+		t.Fatal("no worker")
+	}
+	ended(s, o, task.Done)
+	status, _ := s.r.Status(serving.ID)
+	is.Equal(status.State, task.Running)
+}
--- a/lib/roster/job.go
+++ b/lib/roster/job.go
@@ -317,6 +317,7 @@
 // Resume orders the accepted jobs by their time and stops the runs of jobs
 // that ended. It is called once, after the last Restore.
 func (r *Roster) Resume(now time.Time) {
+	r.resumed = now
 	slices.SortStableFunc(r.active, func(a, b *job) int { return a.Accepted.Compare(b.Accepted) })
 	for _, j := range r.jobs {
 		if !j.state.Ended() {
@@ -340,3 +341,8 @@
 	}
 	return most
 }
+
+// serves reports whether a job has tasks that run until it is cancelled.
+func (j *job) serves() bool {
+	return slices.ContainsFunc(j.Steps, func(s task.Step) bool { return s.Service })
+}
--- a/lib/roster/plan.go
+++ b/lib/roster/plan.go
@@ -32,6 +32,9 @@
 // Plan starts what fits, guaranteed work first, and stops other work where a
 // guarantee needs its room.
 func (r *Roster) Plan(now time.Time) {
+	if r.awaits(now) {
+		return
+	}
 	p := &pass{r: r, now: now, protected: r.guaranteed()}
 	for _, w := range r.workers {
 		if !w.listed || !w.met || w.Draining || now.Before(w.barred) {
@@ -52,6 +55,25 @@
 	}
 }
 
+// meetTime bounds the time for which a new owner waits for the first reports of
+// all workers. They answer within milliseconds.
+const meetTime = 400 * time.Millisecond
+
+// awaits reports whether workers still have to answer a new owner for the
+// first time. Before that their room is not known, and a guarantee would stop
+// work that need not stop.
+func (r *Roster) awaits(now time.Time) bool {
+	if now.Sub(r.resumed) >= meetTime {
+		return false
+	}
+	for _, w := range r.workers {
+		if w.listed && !w.met {
+			return true
+		}
+	}
+	return false
+}
+
 // guaranteed returns the jobs that their accounts can claim room for: those of
 // the first priority, in order of acceptance, as long as their sum stays
 // within the guarantee.
@@ -78,7 +100,7 @@
 	type ranked struct {
 		j        *job
 		class    int
-		late     int // 1 when the objective can't be met any more
+		late     int // 1 when the objective can't be met any more, -1 for serving jobs
 		deadline time.Time
 	}
 	var all []ranked
@@ -87,6 +109,8 @@
 		switch {
 		case p.protected[j]:
 			k.class, k.deadline = 0, j.Accepted
+		case j.serves():
+			k.late = -1
 		case p.late(j):
 			k.late = 1
 		}
@@ -150,7 +174,8 @@
 }
 
 // placeGroup starts a group if it fits. Otherwise it claims room for a group
-// that may, and keeps it for the group until the runs there have ended.
+// that may, and keeps it for the group until the runs there have ended. It
+// returns false when there is no room for the group, now or soon.
 func (p *pass) placeGroup(g *group) bool {
 	now := func(m *room) unit.Resources { return minimum(m.free, m.later) }
 	later := func(m *room) unit.Resources { return m.later }
@@ -167,11 +192,11 @@
 	if p.mayClaim(g) {
 		for _, set := range sets {
 			if p.keep(g, pack(g, set, p, later)) {
-				return false
+				return true
 			}
 		}
 		if p.keep(g, p.claim(g, sets)) {
-			return false
+			return true
 		}
 	}
 	if remote == nil {
@@ -181,10 +206,7 @@
 		p.start(g, rooms)
 		return true
 	}
-	if p.protected[g.job] && !p.keep(g, pack(g, remote, p, later)) {
-		p.keep(g, p.claim(g, [][]*room{remote}))
-	}
-	return false
+	return p.protected[g.job] && (p.keep(g, pack(g, remote, p, later)) || p.keep(g, p.claim(g, [][]*room{remote})))
 }
 
 // headroom is the part of all accelerators that lower work leaves free while it
@@ -199,7 +221,7 @@
 // yields reports whether a group waits to leave headroom. It answers a load of
 // nearly all accelerators with bursts of the first priority.
 func (p *pass) yields(g *group) bool {
-	if g.job.queue.Priority == 0 || p.late(g.job) || p.now.Sub(p.r.urgent) > headroomTime {
+	if g.job.queue.Priority == 0 || g.spec().Service || p.late(g.job) || p.now.Sub(p.r.urgent) > headroomTime {
 		return false
 	}
 	var free, all unit.Accelerators
@@ -221,10 +243,10 @@
 }
 
 // mayClaim reports whether other work may be stopped for a group: always for
-// guaranteed jobs, and for jobs of the first priority that can still meet
-// their objective.
+// guaranteed jobs and for tasks that serve until they are cancelled, and for
+// jobs of the first priority that can still meet their objective.
 func (p *pass) mayClaim(g *group) bool {
-	return p.protected[g.job] || g.job.queue.Priority == 0 && !p.late(g.job)
+	return p.protected[g.job] || g.spec().Service || g.job.queue.Priority == 0 && !p.late(g.job)
 }
 
 // late reports whether a job can't meet its objective any more.
@@ -292,38 +314,34 @@
 }
 
 // sets returns the sets of rooms in which a group runs at full speed, best
-// first, and the rooms for running remote if that is allowed now.
+// first, and the rooms for running remote if that is allowed now. Workers on
+// which the group has failed come last: other workers may not have the room.
 func (p *pass) sets(g *group) (sets [][]*room, remote []*room) {
-	all := p.candidates(g)
+	good, all := p.candidates(g)
 	s := g.spec()
 	if s.DataRack == "" && (!s.SameRack || g.tasks == 1) {
-		return [][]*room{all}, nil
+		return [][]*room{good, all}, nil
 	}
-	sets = p.near(g, all)
+	sets = append(p.near(g, good), p.near(g, all)...)
 	if p.remoteAllowed(g, sets) {
 		remote = all
 	}
 	return sets, remote
 }
 
-// candidates returns the rooms that a group may use, without workers on which
-// it has failed unless there are no others.
-func (p *pass) candidates(g *group) []*room {
-	var good, rest []*room
+// candidates returns the rooms that a group may use, first without the workers
+// on which it has failed.
+func (p *pass) candidates(g *group) (good, all []*room) {
 	for _, m := range p.rooms {
 		if p.allowed(g, m) == 0 {
 			continue
 		}
-		if slices.Contains(g.avoid, m.ID) {
-			rest = append(rest, m)
-		} else {
+		all = append(all, m)
+		if !slices.Contains(g.avoid, m.ID) {
 			good = append(good, m)
 		}
 	}
-	if len(good) == 0 {
-		return rest
-	}
-	return good
+	return good, all
 }
 
 // near returns the rooms of each rack in which a group runs at full speed, the
--- a/lib/roster/roster.go
+++ b/lib/roster/roster.go
@@ -101,6 +101,7 @@
 	active  []*job // jobs that have not ended, in order of acceptance
 	workers map[id.Worker]*worker
 	runTime map[task.QueueName]*estimate
+	resumed time.Time // when the state of earlier owners was complete
 	urgent  time.Time // when the last job of the first priority was accepted
 
 	fresh   []task.Job
--- a/lib/roster/roster_test.go
+++ b/lib/roster/roster_test.go
@@ -277,3 +277,40 @@
 	status, _ = s.r.Status(j.ID)
 	is.Equal(status.State, task.Completed)
 }
+
+// TestNewOwnerMeetsWorkersFirst guards against work that a new owner stops for
+// a guarantee because it does not know the free workers yet, and against one
+// that waits for a worker that does not answer.
+func TestNewOwnerMeetsWorkersFirst(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, 2)
+	r := roster.New(simConfig)
+	r.Configure(roster.Rules{Queues: map[task.QueueName]task.Queue{"q0": {Name: "q0", Service: simService, Attempts: 1}}})
+	r.Resume(s.now)
+	for _, w := range s.workers {
+		r.Listed(s.now, w.Worker)
+	}
+	j := single(1, task.Step{Tasks: 1})
+	j.Queue = "q0"
+	is.NoErr(r.Submit(s.now, j))
+	r.Heard(s.now, s.now, task.Report{Worker: "w-00", Incarnation: 1})
+	r.Plan(s.now)
+	is.Equal(len(r.Take().Orders), 0)
+	r.Plan(s.now.Add(500 * time.Millisecond))
+	is.Equal(len(r.Take().Orders), 1)
+}
+
+// TestFailedGangStartsAgain guards against a gang that never starts again
+// because it has failed on workers without which there is no room.
+func TestFailedGangStartsAgain(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, 4)
+	orders := place(s, single(1, task.Step{Tasks: 3, Gang: true, Demand: unit.Resources{Accelerators: 8, Cores: 1}}), 1)
+	is.Equal(len(orders), 3)
+	for _, o := range orders {
+		s.r.Heard(s.now, s.now, task.Report{Worker: o.Worker, Incarnation: 1, Ends: []task.End{
+			{Seq: 1, Task: o.Task, Run: 1, How: task.Faulted}}})
+	}
+	s.r.Plan(s.now)
+	is.Equal(count(s.r.Take().Orders, roster.Start), 3)
+}
--- a/lib/roster/worker.go
+++ b/lib/roster/worker.go
@@ -117,10 +117,11 @@
 	}
 }
 
-// drain moves runs that can save their progress off a worker that leaves.
+// drain moves runs that lose nothing by it off a worker that leaves: those that
+// can save their progress, and those that serve until they are cancelled.
 func (r *Roster) drain(now time.Time, w *worker) {
 	for _, m := range slices.Clone(w.members) {
-		if s := m.group.spec(); s.Checkpoints && !s.Gang {
+		if s := m.group.spec(); (s.Checkpoints || s.Service) && !s.Gang {
 			r.stopGroup(now, m.group, "the worker leaves")
 		}
 	}
