--- a/bronzewinch/command/command.go
+++ b/bronzewinch/command/command.go
@@ -50,7 +50,7 @@
 		// Entry nodes and workers.
 		&nodesCommand{}, &workersCommand{}, &drainCommand{},
 		// Reports on a deployment.
-		&auditCommand{}, &reportCommand{}, &topCommand{every: 2 * time.Second},
+		&auditCommand{}, &reportCommand{}, &topCommand{every: 2 * time.Second}, &traceCommand{},
 		// A deployment for trying out.
 		&demoCommand{deployment: "cooperative"},
 		&versionCommand{},
--- a/bronzewinch/command/command_test.go
+++ b/bronzewinch/command/command_test.go
@@ -39,6 +39,8 @@
 		{"version", 0, "bronzewinch"},
 		{"completion bash", 0, "bronzewinch"},
 		{"completion cmd", 2, "bash"},
+		{"trace", 2, "trace ID"},
+		{"trace 00aa DIR/none.log", 4, "none.log"},
 		{"nodes", 4, "absent.toml"},
 		{"nodes -contexts DIR/contexts.toml -context none", 4, "none"},
 		{"nodes -address URL", 2, "tokenFile"},
--- /dev/null
+++ b/bronzewinch/command/trace.go
@@ -0,0 +1,56 @@
+package command
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"bronzewinch.dev/lib/logline"
+	"bronzewinch.dev/lib/problem"
+
+	"github.com/integrii/flaggy"
+)
+
+// TraceResult is the story of one job.
+type TraceResult struct {
+	ID    string         `json:"id"`
+	Lines []logline.Line `json:"lines"`
+}
+
+type traceCommand struct{}
+
+func (*traceCommand) Info() Info {
+	return Info{Name: "trace", Args: "ID LOG...", Summary: "Tell from the nodes' logs what happened to a job, in order of time.",
+		Example: "bronzewinch trace 5c0e7a21d94b36f8 logs/*.log", MinArgs: 2, MaxArgs: -1}
+}
+
+func (*traceCommand) Flags(*flaggy.Subcommand) {}
+
+func (*traceCommand) Run(_ context.Context, e *Env) error {
+	name := e.Args[0]
+	var all []logline.Line
+	for _, path := range e.Args[1:] {
+		f, err := os.Open(path)
+		if err != nil {
+			return problem.New(problem.NotFound, problem.Detail{Field: "log", Value: path, Remedy: "name a log file that can be read"})
+		}
+		lines, err := logline.Read(strings.TrimSuffix(filepath.Base(path), filepath.Ext(path)), f)
+		_ = f.Close() // it was only read
+		if err != nil {
+			return err
+		}
+		all = append(all, lines...)
+	}
+	r := TraceResult{ID: name, Lines: logline.Story(all, name)}
+	if len(r.Lines) == 0 {
+		return problem.New(problem.NotFound, problem.Detail{Field: "job", Value: name,
+			Remedy: "give the logs of all nodes of its time; none of these names it"})
+	}
+	return show(e, r, func(t *table) {
+		t.row("TIME", "NODE", "EVENT", "WHAT")
+		for _, l := range r.Lines {
+			t.row(l.Time.Format("15:04:05.000"), l.Node, l.Event, l.Message+": "+l.Text())
+		}
+	})
+}
--- a/lib/gate/gate.go
+++ b/lib/gate/gate.go
@@ -125,6 +125,9 @@
 // Leave makes the node say that it is not ready, before it stops.
 func (g *Gate) Leave() { g.leaving.Store(true) }
 
+// Leaving reports whether Leave was called.
+func (g *Gate) Leaving() bool { return g.leaving.Load() }
+
 // Reseed replaces the addresses of nodes that may know the owner.
 func (g *Gate) Reseed(seeds []string) {
 	g.mu.Lock()
