--- a/bronzewinchd/main.go
+++ b/bronzewinchd/main.go
@@ -26,7 +26,7 @@
 
 func main() {
 	var path string
-	var onPlatform bool
+	var onPlatform, check bool
 	var metricsPort int
 	flaggy.SetName("bronzewinchd")
 	flaggy.SetDescription("Runs an entry node. Example: bronzewinchd -settings /etc/bronzewinch/node.toml")
@@ -34,10 +34,14 @@
 	flaggy.String(&path, "s", "settings", "settings file (TOML); docs/configuration.md lists the settings")
 	flaggy.Bool(&onPlatform, "p", "platform", "run as a node of the cooperative platform; "+
 		platform.SettingsVariable+" names its settings file")
+	flaggy.Bool(&check, "c", "check", "with -platform: read the settings, report a mistake, and end")
 	flaggy.Int(&metricsPort, "m", "metrics", "with -platform: port that serves /metrics; 0 serves none")
 	flaggy.Parse()
 	start := func() error { return run(path) }
-	if onPlatform {
+	switch {
+	case onPlatform && check:
+		start = checkPlatform
+	case onPlatform:
 		start = func() error { return runPlatform(metricsPort) }
 	}
 	if err := start(); err != nil {
--- a/bronzewinchd/platform.go
+++ b/bronzewinchd/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 	"net"
 	"os"
 	"os/signal"
@@ -73,6 +74,15 @@
 	return dig.RootCause(err)
 }
 
+// checkPlatform reports whether the settings are valid.
+func checkPlatform() error {
+	s, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
+	if err == nil {
+		fmt.Printf("settings of node %s are valid\n", s.Node)
+	}
+	return err
+}
+
 // logToStdout sends the log to the standard output without ever waiting for
 // its reader.
 func logToStdout() (func(), error) {
--- a/lib/desk/cycle.go
+++ b/lib/desk/cycle.go
@@ -202,6 +202,7 @@
 		cancel()
 		switch {
 		case err == nil && result.Committed:
+			s.desk.figures.commit.Update(s.desk.config.Timer.Now().Sub(begun).Seconds())
 			s.commit = result.Version
 			s.desk.store.Observe(nil)
 			return nil
@@ -253,6 +254,7 @@
 		}
 	}
 	for _, n := range c.Notes {
+		s.desk.figures.note(n)
 		s.log(n)
 	}
 }
@@ -338,6 +340,7 @@
 	s.list(ctx, now, workers)
 	s.wg.Go(func() { s.followConfig(ctx, config.Version) })
 	s.wg.Go(func() { s.followWorkers(ctx, workers.Version) })
+	s.desk.figures.load.Update(s.desk.config.Timer.Now().Sub(begun).Seconds())
 	klog.InfoS("state loaded", "event", "load", "fence", s.term.Fence, "jobs", len(jobs), "workers", len(workers.Workers),
 		"config", s.directory.Load().config.Number, "tookMs", s.desk.config.Timer.Now().Sub(begun).Milliseconds())
 	return nil
--- a/lib/desk/desk.go
+++ b/lib/desk/desk.go
@@ -88,8 +88,9 @@
 	stages pipe.Filter[call, call]
 	// store and lists tell of the metadata store as transactions and watches
 	// see it.
-	store *dependency.Dependency
-	lists *dependency.Dependency
+	store   *dependency.Dependency
+	lists   *dependency.Dependency
+	figures *figures
 
 	session atomic.Pointer[session]
 
@@ -102,7 +103,13 @@
 // New returns a desk that does not serve yet.
 func New(c Config) *Desk {
 	d := &Desk{config: c, heard: make(map[id.Node]time.Time), store: dependency.New("store", c.Timer),
-		lists: dependency.New("lists", c.Timer)}
+		lists: dependency.New("lists", c.Timer), figures: newFigures(c.Metrics)}
+	c.Metrics.NewGauge("bronzewinch_config_age_seconds", func() float64 {
+		if s := d.session.Load(); s != nil {
+			return s.age().Seconds()
+		}
+		return 0
+	})
 	d.stages = pipe.Then(
 		pipe.Then(pipe.Named(c.Metrics, "route", pipe.Func[call, call](d.findRoute)),
 			pipe.Named(c.Metrics, "authenticate", pipe.Func[call, call](d.authenticate))),
