--- a/bronzewinchd/platform.go
+++ b/bronzewinchd/platform.go
@@ -103,8 +103,12 @@
 
 func newDesk(s platform.Settings, store *platform.Store, workers *platform.Workers, clock timer.Service,
 	set *metrics.Set) *desk.Desk {
-	return desk.New(desk.Config{Node: s.Node, Store: store, Lists: platform.Lists{Store: store}, Workers: workers,
-		Roster: s.Roster, Timer: clock, Metrics: set})
+	c := desk.Config{Node: s.Node, Store: store, Lists: platform.Lists{Store: store}, Workers: workers,
+		Roster: s.Roster, Timer: clock, Metrics: set}
+	if a := platform.NewAdviser(s.Advice); a != nil {
+		c.Adviser = a
+	}
+	return desk.New(c)
 }
 
 func newTenure(s platform.Settings, store *platform.Store, d *desk.Desk, clock timer.Service) *tenure.Tenure {
--- a/lib/desk/cycle.go
+++ b/lib/desk/cycle.go
@@ -248,6 +248,11 @@
 	for _, e := range b.heard {
 		e.link.release(e, s.roster.Busy(e.link.name))
 	}
+	for _, q := range c.Asks {
+		if err := s.asks.Put(q); err != nil {
+			_ = s.events.Put(&adviceEvent{ask: q, err: err}) // the roster asks again
+		}
+	}
 	for _, o := range c.Orders {
 		if l, ok := s.links.Get(o.Worker); ok {
 			l.send(o)
--- a/lib/desk/desk.go
+++ b/lib/desk/desk.go
@@ -77,6 +77,8 @@
 	Store   Store
 	Lists   Lists
 	Workers Workers
+	// Adviser may be nil where no queue has advice.
+	Adviser Adviser
 	Roster  roster.Config
 	Timer   timer.Service
 	Metrics *metrics.Set
@@ -210,6 +212,7 @@
 	confirmed atomic.Int64 // timer.Boot when the directory was last known to be the newest
 	stalled   atomic.Bool
 	jobs      *shard.Map[id.Job, roster.Status]
+	asks      *pipe.Queue[roster.Ask]
 	pending   *shard.Map[id.Job, struct{}] // jobs of calls that wait for a cycle
 	queues    *shard.Map[task.QueueName, int]
 	links     *shard.Map[id.Worker, *link]
@@ -246,8 +249,8 @@
 	s := &session{
 		desk: d, term: term, roster: roster.New(d.config.Roster), events: pipe.NewQueue[event](eventLimit),
 		jobs: shard.NewMap[id.Job, roster.Status](), queues: shard.NewMap[task.QueueName, int](),
-		pending: shard.NewMap[id.Job, struct{}](),
-		links:   shard.NewMap[id.Worker, *link](), commit: term.Commit, over: make(chan struct{}),
+		pending: shard.NewMap[id.Job, struct{}](), asks: pipe.NewQueue[roster.Ask](askLimit),
+		links: shard.NewMap[id.Worker, *link](), commit: term.Commit, over: make(chan struct{}),
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer s.wg.Wait()
@@ -258,6 +261,9 @@
 		return err
 	}
 	s.wg.Go(func() { s.tick(ctx) })
+	if d.config.Adviser != nil {
+		s.wg.Go(func() { s.advise(ctx, d.config.Adviser) })
+	}
 	d.session.Store(s)
 	defer d.session.Store(nil)
 	return s.run(ctx)
--- /dev/null
+++ b/lib/roster/advice_test.go
@@ -0,0 +1,51 @@
+package roster_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"bronzewinch.dev/lib/id"
+	"bronzewinch.dev/lib/roster"
+	"bronzewinch.dev/lib/task"
+
+	"github.com/matryer/is"
+)
+
+// TestAdvice guards against starts on workers that the advice service does not
+// allow, with a ticket that has run out, and against a step that is never asked
+// about again.
+func TestAdvice(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, 3)
+	s.r.Configure(roster.Rules{Queues: map[task.QueueName]task.Queue{"q1": {Name: "q1", Service: simService, Priority: 1, Attempts: 4,
+		Slack: 3, Advised: true}}})
+	plan := func(after time.Duration) roster.Changes {
+		s.now = s.now.Add(after)
+		s.r.Tick(s.now)
+		s.r.Plan(s.now)
+		return s.r.Take()
+	}
+	s.submit(single(1, task.Step{Tasks: 9, Estimate: time.Second}), 1)
+	first := plan(0)
+	is.Equal(len(first.Orders), 0)
+	is.Equal(len(first.Asks), 1)
+	is.Equal(first.Asks[0].Workers, []id.Worker{"w-00", "w-01", "w-02"})
+	is.Equal(len(plan(5*time.Second).Asks), 0) // one question at a time
+	s.r.Advised(first.Asks[0], nil, time.Time{}, errors.New("busy"))
+	again := plan(0)
+	is.Equal(len(again.Asks), 1)
+	s.r.Advised(again.Asks[0], []roster.Ticket{{Worker: "w-01", Value: "ticket"}}, s.now.Add(3*time.Second), nil)
+	started := plan(0)
+	is.Equal(len(started.Orders), 8) // the ninth task has no room on the one worker
+	for _, o := range started.Orders {
+		is.Equal(o.Worker, id.Worker("w-01"))
+		is.Equal(o.Ticket, "ticket")
+	}
+	is.Equal(len(plan(time.Second).Asks), 0) // the others may never run the step
+	s.r.Answered(s.now, started.Orders[0], roster.NoTicket)
+	next := plan(600 * time.Millisecond) // the worker is left out for a moment
+	is.Equal(len(next.Orders), 0)
+	is.Equal(len(next.Asks), 1)
+	is.Equal(next.Asks[0].Workers, []id.Worker{"w-01"})
+}
--- a/lib/roster/job.go
+++ b/lib/roster/job.go
@@ -24,7 +24,8 @@
 	number int
 	due    time.Time
 	steps  [][]*group
-	left   int // groups that are not done
+	left   int             // groups that are not done
+	advice map[int]*advice // by step, for queues with advice
 }
 
 // group is a set of tasks that start together: a gang, or one other task.
--- a/lib/roster/plan.go
+++ b/lib/roster/plan.go
@@ -166,6 +166,9 @@
 			}
 			for _, g := range o.steps[i] {
 				if g.idle() && !p.placeGroup(g) {
+					if j.queue.Advised {
+						p.ask(g)
+					}
 					break // the other tasks of the step need the same room
 				}
 			}
@@ -297,7 +300,7 @@
 // its tasks.
 func (p *pass) allowed(g *group, m *room) int {
 	s := g.spec()
-	if m.Service != g.job.queue.Service || s.Label != "" && !slices.Contains(m.Labels, s.Label) {
+	if !p.allowedKind(g, m) || g.job.queue.Advised && !g.occurrence.advised(g.step).valid(p.now, m.worker) {
 		return 0
 	}
 	if s.MaxPerWorker == 0 {
@@ -313,6 +316,13 @@
 	return min(g.tasks, max(0, most))
 }
 
+// allowedKind reports whether a worker belongs to the service of a group's
+// queue and has the label that its step asks for.
+func (p *pass) allowedKind(g *group, m *room) bool {
+	s := g.spec()
+	return m.Service == g.job.queue.Service && (s.Label == "" || slices.Contains(m.Labels, s.Label))
+}
+
 // sets returns the sets of rooms in which a group runs at full speed, best
 // first, and the rooms for running remote if that is allowed now. Workers on
 // which the group has failed come last: other workers may not have the room.
--- a/lib/roster/roster.go
+++ b/lib/roster/roster.go
@@ -67,7 +67,9 @@
 	Run         task.Run
 	Spec        string
 	Saved       task.Checkpoint
-	Issued      time.Time
+	// Ticket is the advice service's, for queues with advice.
+	Ticket string
+	Issued time.Time
 }
 
 // Note is one decision or change of belief, for the log.
@@ -89,6 +91,7 @@
 	// Begun are jobs of which the first task has started.
 	Begun   []id.Job
 	Removed []id.Job
+	Asks    []Ask
 	Orders  []Order
 	Notes   []Note
 }
@@ -108,6 +111,7 @@
 	dirty   map[id.Job]*job
 	begun   []id.Job
 	removed []id.Job
+	asks    []Ask
 	orders  []Order
 	notes   []Note
 }
@@ -132,11 +136,12 @@
 
 // Take returns what has changed since the last call.
 func (r *Roster) Take() Changes {
-	c := Changes{Jobs: r.fresh, Begun: r.begun, Removed: r.removed, Orders: r.orders, Notes: r.notes}
+	c := Changes{Jobs: r.fresh, Begun: r.begun, Removed: r.removed, Asks: r.asks, Orders: r.orders, Notes: r.notes}
 	for _, j := range r.dirty {
 		c.Progress = append(c.Progress, j.progress())
 	}
 	clear(r.dirty)
+	r.asks = nil
 	r.fresh, r.begun, r.removed, r.orders, r.notes = nil, nil, nil, nil, nil
 	return c
 }
@@ -182,6 +187,9 @@
 	o := Order{Kind: kind, Worker: m.worker.ID, Incarnation: m.incarnation, Task: m.name(), Run: m.group.run, Issued: now}
 	if kind == Start {
 		o.Spec, o.Saved = m.group.job.Spec, m.group.saved
+		if m.group.job.queue.Advised {
+			o.Ticket = m.group.occurrence.advised(m.group.step).tickets[m.worker.ID].value
+		}
 		w := m.worker
 		if lapse := r.config.Lapse(now.Add(orderTime)); lapse.After(w.lapse) {
 			w.lapse = lapse
--- a/lib/roster/worker.go
+++ b/lib/roster/worker.go
@@ -287,6 +287,8 @@
 	Full Answer = "full"
 	// Refused means that the worker did nothing, for another reason.
 	Refused Answer = "refused"
+	// NoTicket means that the worker does not take the ticket of the start.
+	NoTicket Answer = "noTicket"
 	// NotSent means that the order was not sent.
 	NotSent Answer = "notSent"
 	// Unanswered means that the order may be carried out, now or later.
@@ -322,7 +324,10 @@
 		r.stopGroup(now, g, "a start was not answered")
 	default:
 		w.barred = now.Add(fullTime)
-		if a == Refused {
+		switch {
+		case a == NoTicket:
+			delete(g.occurrence.advised(g.step).tickets, w.ID)
+		case a == Refused:
 			w.barred = now.Add(suspectTime)
 		}
 		r.memberEnded(now, m, task.Lapsed, "", "start "+string(a))
--- a/lib/task/task.go
+++ b/lib/task/task.go
@@ -160,6 +160,9 @@
 	// the time from submission to completion.
 	Slack  float64
 	Target time.Duration
+	// Advised means that a service of the platform tells which workers may run
+	// the steps, and that starts carry its tickets.
+	Advised bool
 }
 
 // Worker is a worker as the platform's list describes it.
