Use workers again whose entries had lapsed; end links of workers that are gone

Cause: when an entry of the list lapsed and came back, the roster waited for a first report of the worker, and its link, which had one already, never asked. The worker stayed out of use until the next owner. Links of workers that had left were kept for the rest of a term.

Change: a listed worker is asked once; a link ends 30 s after its worker's entry when nothing runs there.

Test: TestWorkerComesBack fails on the earlier code.

--- a/lib/desk/cycle.go
+++ b/lib/desk/cycle.go
@@ -49,12 +49,20 @@
 // first: reports may still wait, and a run must not be given up while a call
 // that extends its lease is on its way.
 func (s *session) pass(now time.Time) {
+	var gone []id.Worker
 	s.links.Range(func(name id.Worker, l *link) bool {
 		if sent, ok := l.granted(); ok {
 			s.roster.Granted(name, sent)
 		}
+		if l.gone(now) && !s.roster.Busy(name) {
+			l.stop()
+			gone = append(gone, name)
+		}
 		return true
 	})
+	for _, name := range gone {
+		s.links.Delete(name)
+	}
 	s.roster.Tick(now)
 }
 
--- a/lib/desk/desk_test.go
+++ b/lib/desk/desk_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bronzewinch.dev/lib/desk"
+	"bronzewinch.dev/lib/id"
 	"bronzewinch.dev/lib/task"
 	"bronzewinch.dev/lib/tenure"
 
@@ -161,3 +162,19 @@
 	d.store.set(false, false)
 	is.Equal(<-first, desk.OK)
 }
+
+// TestWorkerComesBack guards against a worker that is never used again after
+// its entry had lapsed while the store was away.
+func TestWorkerComesBack(t *testing.T) {
+	is := is.New(t)
+	lists := fakeLists{workers: testWorkers(), changes: make(chan desk.Update)}
+	d := serveLists(t, newFakeStore(), newFakeWorkers(), lists)
+	is.Equal(d.submit(jobA).Outcome, desk.OK)
+	d.workers.await(t, "the start", func() bool { return len(d.workers.started) == 1 })
+	d.workers.finish("worker")
+	d.workers.await(t, "the acknowledgement", func() bool { return d.workers.acked == 1 })
+	lists.changes <- desk.Update{Version: 2, Removed: []id.Worker{"worker"}}
+	lists.changes <- desk.Update{Version: 3, Workers: testWorkers()}
+	is.Equal(d.submit(jobB).Outcome, desk.OK)
+	d.workers.await(t, "the second start", func() bool { return len(d.workers.started) == 2 })
+}
--- a/lib/desk/fake_test.go
+++ b/lib/desk/fake_test.go
@@ -130,7 +130,10 @@
 }
 
 // fakeLists has one queue, one account and fixed workers.
-type fakeLists struct{ workers []task.Worker }
+type fakeLists struct {
+	workers []task.Worker
+	changes chan desk.Update // changes of the list of workers, if not nil
+}
 
 const (
 	testKey   = "key"
@@ -154,7 +157,14 @@
 }
 
 func (l fakeLists) NextWorkers(ctx context.Context, after kv.Version, wait time.Duration) (desk.Update, error) {
-	return desk.Update{Version: after}, timer.Sleep(ctx, timer.NewSystem(), wait)
+	select {
+	case u := <-l.changes:
+		return u, nil
+	case <-ctx.Done():
+		return desk.Update{}, ctx.Err()
+	case <-time.After(wait):
+	}
+	return desk.Update{Version: after}, nil
 }
 
 // fakeWorkers runs tasks that end when the test says so.
@@ -277,9 +287,18 @@
 // serve starts a desk on a store and workers, and waits until it serves.
 func serve(t *testing.T, store *fakeStore, workers *fakeWorkers) *testDesk {
 	t.Helper()
-	list := []task.Worker{{ID: "worker", Service: "service", Zone: "zone", Rack: "rack", Address: "a", Incarnation: 7,
+	return serveLists(t, store, workers, fakeLists{workers: testWorkers()})
+}
+
+func testWorkers() []task.Worker {
+	return []task.Worker{{ID: "worker", Service: "service", Zone: "zone", Rack: "rack", Address: "a", Incarnation: 7,
 		Capacity: unit.Resources{Accelerators: 8, Cores: 32 * unit.Core, Memory: 100 * unit.GiB}}}
-	d := desk.New(desk.Config{Node: "node", Store: store, Lists: fakeLists{list}, Workers: workers,
+}
+
+// serveLists starts a desk with lists of its own.
+func serveLists(t *testing.T, store *fakeStore, workers *fakeWorkers, lists fakeLists) *testDesk {
+	t.Helper()
+	d := desk.New(desk.Config{Node: "node", Store: store, Lists: lists, Workers: workers,
 		Roster: roster.Config{HoldMax: 6 * time.Second, RemoteFactor: 3, Keep: time.Minute, Reclaim: 3 * time.Second,
 			StopTime: 400 * time.Millisecond},
 		Timer: timer.NewSystem(), Metrics: metrics.NewSet()})
--- a/lib/desk/link.go
+++ b/lib/desk/link.go
@@ -32,6 +32,9 @@
 	// probePause is the pause between calls to a worker that does not answer.
 	probePause = 400 * time.Millisecond
 	orderLimit = 4096
+	// goneTime is how long a link outlives the entry of its worker. Entries
+	// that lapsed while the store was away come back within seconds.
+	goneTime = 30 * time.Second
 )
 
 // Target is one incarnation of a worker.
@@ -67,6 +70,7 @@
 	orders  *pipe.Queue[roster.Order]
 	contact *dependency.Dependency
 	wake    chan struct{}
+	stop    context.CancelFunc
 
 	mu       sync.Mutex
 	target   Target
@@ -78,12 +82,14 @@
 	acked    task.EndSeq // stored by a cycle
 	told     task.EndSeq // acknowledged to the worker
 	reported task.EndSeq // highest end in the last report
+	unlisted time.Time   // when the platform's list dropped the worker, or zero
 }
 
 func newLink(ctx context.Context, s *session, w task.Worker) *link {
 	l := &link{session: s, name: w.ID, orders: pipe.NewQueue[roster.Order](orderLimit), wake: make(chan struct{}, 1),
 		contact: dependency.New("worker "+string(w.ID), s.desk.config.Timer)}
 	l.target = Target{Worker: w.ID, Address: w.Address, Incarnation: w.Incarnation}
+	ctx, l.stop = context.WithCancel(ctx)
 	s.wg.Go(func() { l.poll(ctx) })
 	s.wg.Go(func() {
 		for {
@@ -108,9 +114,25 @@
 		l.reset()
 	}
 	l.target = Target{Worker: w.ID, Address: w.Address, Incarnation: w.Incarnation}
+	l.unlisted = time.Time{}
+	l.busy = true // the roster waits for a report of a worker that is listed anew
 	l.signal()
 }
 
+// drop notes that the platform's list no longer has the worker.
+func (l *link) drop(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.unlisted = now
+}
+
+// gone reports whether the worker has been off the list for long.
+func (l *link) gone(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.unlisted.IsZero() && now.Sub(l.unlisted) > goneTime
+}
+
 // reset forgets what an earlier incarnation told. The lock is held.
 func (l *link) reset() {
 	l.clock, l.clockAt, l.trusted = 0, time.Time{}, false
--- a/lib/desk/lists.go
+++ b/lib/desk/lists.go
@@ -93,6 +93,9 @@
 	}
 	for _, name := range e.update.Removed {
 		s.roster.Unlisted(now, name)
+		if l, ok := s.links.Get(name); ok {
+			l.drop(now)
+		}
 	}
 }
 
