--- a/bronzewinchd/platform.go
+++ b/bronzewinchd/platform.go
@@ -10,11 +10,11 @@
 	"syscall"
 	"time"
 
-	"bronzewinch.dev/lib/desk"
-	"bronzewinch.dev/lib/gate"
+	"bronzewinch.dev/lib/controller"
+	"bronzewinch.dev/lib/election"
 	"bronzewinch.dev/lib/logline"
 	"bronzewinch.dev/lib/peer"
-	"bronzewinch.dev/lib/tenure"
+	"bronzewinch.dev/lib/relay"
 	"bronzewinch.dev/lib/timer"
 	"bronzewinch.dev/platform"
 
@@ -29,8 +29,8 @@
 	dig.In
 
 	Settings platform.Settings
-	Tenure   *tenure.Tenure
-	Gate     *gate.Gate
+	Election *election.Election
+	Relay    *relay.Relay
 	Server   *peer.Server
 	Pool     *peer.Pool
 	Workers  *platform.Workers
@@ -64,7 +64,7 @@
 		platform.NewWorkers,
 		func() *peer.Pool { return peer.NewPool(peer.PoolConfig{}) },
 		func() *peer.Server { return peer.NewServer(peer.ServerConfig{}) },
-		newDesk, newTenure, newGate,
+		newController, newElection, newRelay,
 	} {
 		if err := container.Provide(f); err != nil {
 			return err
@@ -101,23 +101,23 @@
 	}, nil
 }
 
-func newDesk(s platform.Settings, store *platform.Store, workers *platform.Workers, clock timer.Service,
-	set *metrics.Set) *desk.Desk {
-	c := desk.Config{Node: s.Node, Store: store, Lists: platform.Lists{Store: store}, Workers: workers,
-		Roster: s.Roster, Timer: clock, Metrics: set}
+func newController(s platform.Settings, store *platform.Store, workers *platform.Workers, clock timer.Service,
+	set *metrics.Set) *controller.Controller {
+	c := controller.Config{Node: s.Node, Store: store, Lists: platform.Lists{Store: store}, Workers: workers,
+		Planner: s.Planner, Timer: clock, Metrics: set}
 	if a := platform.NewAdviser(s.Advice); a != nil {
 		c.Adviser = a
 	}
-	return desk.New(c)
+	return controller.New(c)
 }
 
-func newTenure(s platform.Settings, store *platform.Store, d *desk.Desk, clock timer.Service) *tenure.Tenure {
-	return tenure.New(tenure.Config{Node: s.Node, Address: s.Peers, Store: store, Holder: d, Timer: clock})
+func newElection(s platform.Settings, store *platform.Store, d *controller.Controller, clock timer.Service) *election.Election {
+	return election.New(election.Config{Node: s.Node, Address: s.Peers, Store: store, Holder: d, Timer: clock})
 }
 
-func newGate(s platform.Settings, t *tenure.Tenure, d *desk.Desk, pool *peer.Pool, server *peer.Server,
-	clock timer.Service) *gate.Gate {
-	return gate.New(gate.Config{Node: s.Node, Address: s.Peers, Seeds: s.Seeds, Owners: t, Desk: d, Pool: pool,
+func newRelay(s platform.Settings, t *election.Election, d *controller.Controller, pool *peer.Pool, server *peer.Server,
+	clock timer.Service) *relay.Relay {
+	return relay.New(relay.Config{Node: s.Node, Address: s.Peers, Seeds: s.Seeds, Owners: t, Controller: d, Pool: pool,
 		Server: server, Timer: clock})
 }
 
@@ -135,7 +135,7 @@
 			klog.ErrorS(err, "settings refused; the earlier ones stay in force", "event", "reload", "node", n.Settings.Node)
 			continue
 		}
-		n.Gate.Reseed(s.Seeds)
+		n.Relay.Reseed(s.Seeds)
 		klog.InfoS("settings read again", "event", "reload", "node", s.Node, "seeds", s.Seeds)
 	}
 }
@@ -154,7 +154,7 @@
 		return errors.Wrap(err, "listen for other nodes")
 	}
 	n.Server.Serve(listener)
-	front, err := platform.NewFront(n.Settings, n.Gate, n.Metrics)
+	front, err := platform.NewFront(n.Settings, n.Relay, n.Metrics)
 	if err != nil {
 		return errors.Wrap(err, "listen for clients")
 	}
@@ -163,11 +163,11 @@
 	klog.InfoS("node stops", "event", "stop", "node", n.Settings.Node)
 	ending, cancel := context.WithTimeout(context.Background(), n.Settings.Grace-graceMargin)
 	defer cancel()
-	n.Gate.Leave()
-	n.Tenure.Close()
+	n.Relay.Leave()
+	n.Election.Close()
 	_ = timer.Sleep(ending, timer.NewSystem(), lingerTime)
 	front.Close(ending)
-	n.Gate.Close()
+	n.Relay.Close()
 	n.Server.Close(ending)
 	n.Pool.Close()
 	n.Workers.Close()
--- a/lib/desk/advise.go
+++ b/lib/controller/advise.go
@@ -1,10 +1,10 @@
-package desk
+package controller
 
 import (
 	"context"
 	"time"
 
-	"bronzewinch.dev/lib/roster"
+	"bronzewinch.dev/lib/planner"
 
 	"k8s.io/klog/v2"
 )
@@ -21,7 +21,7 @@
 // Adviser tells which workers may run a step, and for how long its tickets are
 // valid.
 type Adviser interface {
-	Advise(ctx context.Context, q roster.Ask) (good []roster.Ticket, valid time.Duration, err error)
+	Advise(ctx context.Context, q planner.Ask) (good []planner.Ticket, valid time.Duration, err error)
 }
 
 // advise asks one question after the other.
@@ -31,7 +31,7 @@
 		if !ok {
 			return
 		}
-		sent := s.desk.config.Timer.Now()
+		sent := s.controller.config.Timer.Now()
 		call, cancel := context.WithTimeout(ctx, adviceTimeout)
 		good, valid, err := a.Advise(call, asks[0])
 		cancel()
@@ -46,12 +46,12 @@
 }
 
 type adviceEvent struct {
-	ask   roster.Ask
-	good  []roster.Ticket
+	ask   planner.Ask
+	good  []planner.Ticket
 	until time.Time
 	err   error
 }
 
 func (e *adviceEvent) apply(s *session, _ time.Time, _ *batch) {
-	s.roster.Advised(e.ask, e.good, e.until, e.err)
+	s.planner.Advised(e.ask, e.good, e.until, e.err)
 }
--- a/lib/desk/desk.go
+++ b/lib/controller/controller.go
@@ -1,4 +1,4 @@
-package desk
+package controller
 
 import (
 	"context"
@@ -7,14 +7,14 @@
 	"time"
 
 	"bronzewinch.dev/lib/dependency"
+	"bronzewinch.dev/lib/election"
 	"bronzewinch.dev/lib/id"
 	"bronzewinch.dev/lib/kv"
 	"bronzewinch.dev/lib/pipe"
+	"bronzewinch.dev/lib/planner"
 	"bronzewinch.dev/lib/problem"
-	"bronzewinch.dev/lib/roster"
 	"bronzewinch.dev/lib/shard"
 	"bronzewinch.dev/lib/task"
-	"bronzewinch.dev/lib/tenure"
 	"bronzewinch.dev/lib/timer"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -54,7 +54,7 @@
 	isolationTime = 2 * time.Second
 )
 
-// Store is the part of the key-value service that the desk needs.
+// Store is the part of the key-value service that the controller needs.
 type Store interface {
 	List(ctx context.Context, prefix, after string, limit int) ([]kv.Item, error)
 	Commit(ctx context.Context, txn kv.Txn) (kv.TxnResult, error)
@@ -71,7 +71,7 @@
 	NextWorkers(ctx context.Context, after kv.Version, wait time.Duration) (Update, error)
 }
 
-// Config configures a Desk.
+// Config configures a Controller.
 type Config struct {
 	Node    id.Node
 	Store   Store
@@ -79,13 +79,13 @@
 	Workers Workers
 	// Adviser may be nil where no queue has advice.
 	Adviser Adviser
-	Roster  roster.Config
+	Planner planner.Config
 	Timer   timer.Service
 	Metrics *metrics.Set
 }
 
-// Desk is the runtime. It serves calls while this node owns the scheduler.
-type Desk struct {
+// Controller is the runtime. It serves calls while this node owns the scheduler.
+type Controller struct {
 	config Config
 	stages pipe.Filter[call, call]
 	// store and lists tell of the metadata store as transactions and watches
@@ -100,11 +100,11 @@
 	heard map[id.Node]time.Time // when other nodes last called
 }
 
-var _ tenure.Holder = (*Desk)(nil)
+var _ election.Holder = (*Controller)(nil)
 
-// New returns a desk that does not serve yet.
-func New(c Config) *Desk {
-	d := &Desk{config: c, heard: make(map[id.Node]time.Time), store: dependency.New("store", c.Timer),
+// New returns a controller that does not serve yet.
+func New(c Config) *Controller {
+	d := &Controller{config: c, heard: make(map[id.Node]time.Time), store: dependency.New("store", c.Timer),
 		lists: dependency.New("lists", c.Timer), figures: newFigures(c.Metrics)}
 	c.Metrics.NewGauge("bronzewinch_config_age_seconds", func() float64 {
 		if s := d.session.Load(); s != nil {
@@ -121,7 +121,7 @@
 
 // Hello notes that another node is in touch. It returns whether calls are
 // served.
-func (d *Desk) Hello(from id.Node) bool {
+func (d *Controller) Hello(from id.Node) bool {
 	if from != "" && from != d.config.Node {
 		d.mu.Lock()
 		d.heard[from] = d.config.Timer.Now()
@@ -132,14 +132,14 @@
 }
 
 // alone reports whether other nodes were in touch and none is any more.
-func (d *Desk) alone(now time.Time) bool {
+func (d *Controller) alone(now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for name, at := range d.heard {
 		if now.Sub(at) < isolationTime {
 			return false
 		}
-		if now.Sub(at) > tenure.GraceTime {
+		if now.Sub(at) > election.GraceTime {
 			delete(d.heard, name)
 		}
 	}
@@ -148,7 +148,7 @@
 
 // Handle decides on a call. It answers Refused when this node does not own
 // the scheduler.
-func (d *Desk) Handle(ctx context.Context, req Request) Reply {
+func (d *Controller) Handle(ctx context.Context, req Request) Reply {
 	refused := Reply{Outcome: Refused, Detail: "no owner serves at present; try again", RetryAfter: retryAfter}
 	s := d.session.Load()
 	if s == nil {
@@ -204,22 +204,22 @@
 
 // session is one time of ownership.
 type session struct {
-	desk      *Desk
-	term      *tenure.Term
-	roster    *roster.Roster // used by the cycle's goroutine alone
-	events    *pipe.Queue[event]
-	directory atomic.Pointer[directory]
-	confirmed atomic.Int64 // timer.Boot when the directory was last known to be the newest
-	stalled   atomic.Bool
-	jobs      *shard.Map[id.Job, roster.Status]
-	asks      *pipe.Queue[roster.Ask]
-	pending   *shard.Map[id.Job, struct{}] // jobs of calls that wait for a cycle
-	queues    *shard.Map[task.QueueName, int]
-	links     *shard.Map[id.Worker, *link]
-	commit    kv.Version
-	number    uint64
-	over      chan struct{}
-	wg        sync.WaitGroup
+	controller *Controller
+	term       *election.Term
+	planner    *planner.Planner // used by the cycle's goroutine alone
+	events     *pipe.Queue[event]
+	directory  atomic.Pointer[directory]
+	confirmed  atomic.Int64 // timer.Boot when the directory was last known to be the newest
+	stalled    atomic.Bool
+	jobs       *shard.Map[id.Job, planner.Status]
+	asks       *pipe.Queue[planner.Ask]
+	pending    *shard.Map[id.Job, struct{}] // jobs of calls that wait for a cycle
+	queues     *shard.Map[task.QueueName, int]
+	links      *shard.Map[id.Worker, *link]
+	commit     kv.Version
+	number     uint64
+	over       chan struct{}
+	wg         sync.WaitGroup
 }
 
 // fresh reports whether calls may be decided.
@@ -245,11 +245,11 @@
 
 // Serve loads what earlier owners stored and works as the owner until ctx
 // ends.
-func (d *Desk) Serve(ctx context.Context, term *tenure.Term) error {
+func (d *Controller) Serve(ctx context.Context, term *election.Term) error {
 	s := &session{
-		desk: d, term: term, roster: roster.New(d.config.Roster), events: pipe.NewQueue[event](eventLimit),
-		jobs: shard.NewMap[id.Job, roster.Status](), queues: shard.NewMap[task.QueueName, int](),
-		pending: shard.NewMap[id.Job, struct{}](), asks: pipe.NewQueue[roster.Ask](askLimit),
+		controller: d, term: term, planner: planner.New(d.config.Planner), events: pipe.NewQueue[event](eventLimit),
+		jobs: shard.NewMap[id.Job, planner.Status](), queues: shard.NewMap[task.QueueName, int](),
+		pending: shard.NewMap[id.Job, struct{}](), asks: pipe.NewQueue[planner.Ask](askLimit),
 		links: shard.NewMap[id.Worker, *link](), commit: term.Commit, over: make(chan struct{}),
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -271,7 +271,7 @@
 
 // tick brings time into the cycle.
 func (s *session) tick(ctx context.Context) {
-	ticks := s.desk.config.Timer.Every(tickPeriod)
+	ticks := s.controller.config.Timer.Every(tickPeriod)
 	defer ticks.Stop()
 	for {
 		select {
@@ -279,7 +279,7 @@
 			s.events.Close()
 			return
 		case now := <-ticks.C:
-			if s.desk.alone(now) {
+			if s.controller.alone(now) {
 				s.term.End(problem.New(problem.Unavailable, problem.Detail{
 					Field: "other nodes", Remedy: "let a node that reaches the others become the owner"}))
 			}
--- a/lib/desk/desk_test.go
+++ b/lib/controller/controller_test.go
@@ -1,14 +1,14 @@
-package desk_test
+package controller_test
 
 import (
 	"fmt"
 	"testing"
 	"time"
 
-	"bronzewinch.dev/lib/desk"
+	"bronzewinch.dev/lib/controller"
+	"bronzewinch.dev/lib/election"
 	"bronzewinch.dev/lib/id"
 	"bronzewinch.dev/lib/task"
-	"bronzewinch.dev/lib/tenure"
 
 	"github.com/matryer/is"
 )
@@ -23,8 +23,8 @@
 func TestJobRunsOnce(t *testing.T) {
 	is := is.New(t)
 	d := serve(t, newFakeStore(), newFakeWorkers())
-	is.Equal(d.submit(jobA).Outcome, desk.OK)
-	is.Equal(d.submit(jobA).Outcome, desk.OK) // a repeated submission is the same job
+	is.Equal(d.submit(jobA).Outcome, controller.OK)
+	is.Equal(d.submit(jobA).Outcome, controller.OK) // a repeated submission is the same job
 	d.workers.await(t, "the start", func() bool { return len(d.workers.started) == 1 })
 	d.workers.finish("worker")
 	d.workers.await(t, "the acknowledgement", func() bool { return d.workers.acked == 1 })
@@ -38,16 +38,16 @@
 	d := serve(t, newFakeStore(), newFakeWorkers())
 	for _, test := range []struct {
 		name string
-		req  desk.Request
-		want desk.Outcome
+		req  controller.Request
+		want controller.Outcome
 	}{
-		{"unknown key", desk.Request{Verb: desk.Look, Host: testHost, Path: "/q/" + jobA, Key: "x"}, desk.Unauthorized},
-		{"unknown host", desk.Request{Verb: desk.Look, Host: "x", Path: "/q/" + jobA, Key: testKey}, desk.NoQueue},
-		{"unknown job", desk.Request{Verb: desk.Look, Host: testHost, Path: "/q/" + jobA, Key: testKey}, desk.NoJob},
-		{"cancel of an unknown job", desk.Request{Verb: desk.Cancel, Host: testHost, Path: "/q/" + jobA, Key: testKey}, desk.NoJob},
-		{"short id", desk.Request{Verb: desk.Submit, Host: testHost, Path: "/q/1", Key: testKey, Job: &task.Job{}}, desk.Malformed},
-		{"no steps", desk.Request{Verb: desk.Submit, Host: testHost, Path: "/q/" + jobA, Key: testKey, Job: &task.Job{}}, desk.Malformed},
-		{"queue", desk.Request{Verb: desk.Look, Host: testHost, Path: "/q/", Key: testKey}, desk.OK},
+		{"unknown key", controller.Request{Verb: controller.Look, Host: testHost, Path: "/q/" + jobA, Key: "x"}, controller.Unauthorized},
+		{"unknown host", controller.Request{Verb: controller.Look, Host: "x", Path: "/q/" + jobA, Key: testKey}, controller.NoQueue},
+		{"unknown job", controller.Request{Verb: controller.Look, Host: testHost, Path: "/q/" + jobA, Key: testKey}, controller.NoJob},
+		{"cancel of an unknown job", controller.Request{Verb: controller.Cancel, Host: testHost, Path: "/q/" + jobA, Key: testKey}, controller.NoJob},
+		{"short id", controller.Request{Verb: controller.Submit, Host: testHost, Path: "/q/1", Key: testKey, Job: &task.Job{}}, controller.Malformed},
+		{"no steps", controller.Request{Verb: controller.Submit, Host: testHost, Path: "/q/" + jobA, Key: testKey, Job: &task.Job{}}, controller.Malformed},
+		{"queue", controller.Request{Verb: controller.Look, Host: testHost, Path: "/q/", Key: testKey}, controller.OK},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			is.New(t).Equal(d.Handle(t.Context(), test.req).Outcome, test.want)
@@ -61,11 +61,11 @@
 	is := is.New(t)
 	d := serve(t, newFakeStore(), newFakeWorkers())
 	d.store.set(false, true)
-	is.Equal(d.submit(jobA).Outcome, desk.OK)
+	is.Equal(d.submit(jobA).Outcome, controller.OK)
 	d.workers.await(t, "the start", func() bool { return len(d.workers.started) == 1 })
-	item, err := d.store.Get(t.Context(), tenure.CommitKey)
+	item, err := d.store.Get(t.Context(), election.CommitKey)
 	is.NoErr(err)
-	mark, err := tenure.DecodeMark(item.Value)
+	mark, err := election.DecodeMark(item.Value)
 	is.NoErr(err)
 	d.store.mu.Lock()
 	defer d.store.mu.Unlock()
@@ -78,8 +78,8 @@
 func TestEndIsStoredBeforeItIsAcknowledged(t *testing.T) {
 	is := is.New(t)
 	d := serve(t, newFakeStore(), newFakeWorkers())
-	is.Equal(d.submit(jobA).Outcome, desk.OK)
-	is.Equal(d.submit(jobB).Outcome, desk.OK)
+	is.Equal(d.submit(jobA).Outcome, controller.OK)
+	is.Equal(d.submit(jobB).Outcome, controller.OK)
 	d.workers.await(t, "the starts", func() bool { return len(d.workers.started) == 2 })
 	d.store.set(true, false)
 	d.workers.finishJob("worker", jobA)
@@ -109,7 +109,7 @@
 	}
 	is := is.New(t)
 	d := serve(t, newFakeStore(), newFakeWorkers())
-	is.Equal(d.submit(jobA).Outcome, desk.OK)
+	is.Equal(d.submit(jobA).Outcome, controller.OK)
 	d.workers.await(t, "the start", func() bool { return len(d.workers.started) == 1 })
 	d.store.set(true, false)
 	go d.submit(jobB) // makes the cycle wait for the store
@@ -128,18 +128,18 @@
 	is := is.New(t)
 	store, workers := newFakeStore(), newFakeWorkers()
 	first := serve(t, store, workers)
-	is.Equal(first.submit(jobA).Outcome, desk.OK)
+	is.Equal(first.submit(jobA).Outcome, controller.OK)
 	workers.await(t, "the start", func() bool { return len(workers.started) == 1 })
-	first.tenure.Close()
+	first.election.Close()
 	second := serve(t, store, workers)
 	is.Equal(second.look(jobA).State, task.Running)
 	workers.finish("worker")
 	workers.await(t, "the acknowledgement", func() bool { return workers.acked == 1 })
 	is.Equal(second.look(jobA).State, task.Completed)
 	is.Equal(len(workers.started), 1)
-	item, err := store.Get(t.Context(), tenure.CommitKey)
+	item, err := store.Get(t.Context(), election.CommitKey)
 	is.NoErr(err)
-	mark, err := tenure.DecodeMark(item.Value)
+	mark, err := election.DecodeMark(item.Value)
 	is.NoErr(err)
 	is.Equal(mark.Fence, task.Fence(2))
 }
@@ -150,31 +150,31 @@
 	is := is.New(t)
 	d := serve(t, newFakeStore(), newFakeWorkers())
 	d.store.set(true, false)
-	first := make(chan desk.Outcome, 1)
+	first := make(chan controller.Outcome, 1)
 	go func() { first <- d.submit(jobA).Outcome }()
 	<-d.store.refused
 	for n := 0; ; n++ { // until the owner refuses what it does not have
-		if d.submitWithin(fmt.Sprintf("%016x", n), 50*time.Millisecond).Outcome == desk.Refused {
+		if d.submitWithin(fmt.Sprintf("%016x", n), 50*time.Millisecond).Outcome == controller.Refused {
 			break
 		}
 	}
-	is.Equal(d.submit(jobA).Outcome, desk.Unknown)
+	is.Equal(d.submit(jobA).Outcome, controller.Unknown)
 	d.store.set(false, false)
-	is.Equal(<-first, desk.OK)
+	is.Equal(<-first, controller.OK)
 }
 
 // TestWorkerComesBack guards against a worker that is never used again after
 // its entry had lapsed while the store was away.
 func TestWorkerComesBack(t *testing.T) {
 	is := is.New(t)
-	lists := fakeLists{workers: testWorkers(), changes: make(chan desk.Update)}
+	lists := fakeLists{workers: testWorkers(), changes: make(chan controller.Update)}
 	d := serveLists(t, newFakeStore(), newFakeWorkers(), lists)
-	is.Equal(d.submit(jobA).Outcome, desk.OK)
+	is.Equal(d.submit(jobA).Outcome, controller.OK)
 	d.workers.await(t, "the start", func() bool { return len(d.workers.started) == 1 })
 	d.workers.finish("worker")
 	d.workers.await(t, "the acknowledgement", func() bool { return d.workers.acked == 1 })
-	lists.changes <- desk.Update{Version: 2, Removed: []id.Worker{"worker"}}
-	lists.changes <- desk.Update{Version: 3, Workers: testWorkers()}
-	is.Equal(d.submit(jobB).Outcome, desk.OK)
+	lists.changes <- controller.Update{Version: 2, Removed: []id.Worker{"worker"}}
+	lists.changes <- controller.Update{Version: 3, Workers: testWorkers()}
+	is.Equal(d.submit(jobB).Outcome, controller.OK)
 	d.workers.await(t, "the second start", func() bool { return len(d.workers.started) == 2 })
 }
--- a/lib/desk/cycle.go
+++ b/lib/controller/cycle.go
@@ -1,4 +1,4 @@
-package desk
+package controller
 
 import (
 	"context"
@@ -6,12 +6,12 @@
 	"time"
 
 	"bronzewinch.dev/lib/codec"
+	"bronzewinch.dev/lib/election"
 	"bronzewinch.dev/lib/id"
 	"bronzewinch.dev/lib/kv"
+	"bronzewinch.dev/lib/planner"
 	"bronzewinch.dev/lib/problem"
-	"bronzewinch.dev/lib/roster"
 	"bronzewinch.dev/lib/task"
-	"bronzewinch.dev/lib/tenure"
 	"bronzewinch.dev/lib/timer"
 
 	"github.com/cockroachdb/errors"
@@ -28,7 +28,7 @@
 // batchLimit bounds the events of one cycle.
 const batchLimit = 1000
 
-// event is something that the roster has to know.
+// event is something that the planner has to know.
 type event interface {
 	apply(s *session, now time.Time, b *batch)
 }
@@ -39,22 +39,22 @@
 	heard   []*reportEvent
 }
 
-// tickEvent only wakes the cycle, which lets time pass in the roster after all
+// tickEvent only wakes the cycle, which lets time pass in the planner after all
 // other events.
 type tickEvent struct{}
 
 func (tickEvent) apply(*session, time.Time, *batch) {}
 
-// pass lets time pass in the roster. It takes over what the links have granted
+// pass lets time pass in the planner. It takes over what the links have granted
 // first: reports may still wait, and a run must not be given up while a call
 // that extends its lease is on its way.
 func (s *session) pass(now time.Time) {
 	var gone []id.Worker
 	s.links.Range(func(name id.Worker, l *link) bool {
 		if sent, ok := l.granted(); ok {
-			s.roster.Granted(name, sent)
+			s.planner.Granted(name, sent)
 		}
-		if l.gone(now) && !s.roster.Busy(name) {
+		if l.gone(now) && !s.planner.Busy(name) {
 			l.stop()
 			gone = append(gone, name)
 		}
@@ -63,7 +63,7 @@
 	for _, name := range gone {
 		s.links.Delete(name)
 	}
-	s.roster.Tick(now)
+	s.planner.Tick(now)
 }
 
 type callEvent struct {
@@ -87,7 +87,7 @@
 func (s *session) submit(now time.Time, c call) Reply {
 	t := *c.Job
 	t.ID, t.Queue, t.Account = c.job, c.route.Name, c.account
-	err := s.roster.Submit(now, t)
+	err := s.planner.Submit(now, t)
 	switch problem.KindOf(err) {
 	case "":
 		return Reply{Outcome: OK}
@@ -98,10 +98,10 @@
 }
 
 func (s *session) cancel(now time.Time, c call) Reply {
-	if status, ok := s.roster.Status(c.job); !ok || status.Queue != c.route.Name {
+	if status, ok := s.planner.Status(c.job); !ok || status.Queue != c.route.Name {
 		return Reply{Outcome: NoJob, Detail: "check the id; no job of this queue has it"}
 	}
-	if err := s.roster.Cancel(now, c.job); err != nil {
+	if err := s.planner.Cancel(now, c.job); err != nil {
 		return Reply{Outcome: NoJob, Detail: err.Error()}
 	}
 	return Reply{Outcome: OK}
@@ -114,21 +114,21 @@
 		if !ok {
 			return context.Cause(ctx)
 		}
-		now := s.desk.config.Timer.Now()
+		now := s.controller.config.Timer.Now()
 		b := &batch{}
 		for _, e := range events {
 			e.apply(s, now, b)
 		}
 		s.pass(now)
-		s.roster.Plan(now)
-		changes := s.roster.Take()
+		s.planner.Plan(now)
+		changes := s.planner.Take()
 		if err := s.store(ctx, changes); err != nil {
 			s.term.End(err)
 			return err
 		}
 		s.release(changes, b)
 		if len(changes.Jobs)+len(changes.Progress) > 0 {
-			if timer.Sleep(ctx, s.desk.config.Timer, cyclePause) != nil {
+			if timer.Sleep(ctx, s.controller.config.Timer, cyclePause) != nil {
 				return context.Cause(ctx)
 			}
 		}
@@ -136,7 +136,7 @@
 }
 
 // store writes the changes of a cycle, in as many transactions as they need.
-func (s *session) store(ctx context.Context, c roster.Changes) error {
+func (s *session) store(ctx context.Context, c planner.Changes) error {
 	var writes []kv.Write
 	var removals []string
 	for _, j := range c.Jobs {
@@ -183,21 +183,21 @@
 // late fails.
 func (s *session) commitOne(ctx context.Context, writes []kv.Write, removals []string) error {
 	s.number++
-	mark := tenure.Mark{Fence: s.term.Fence, Number: s.number}
+	mark := election.Mark{Fence: s.term.Fence, Number: s.number}
 	value, err := mark.Encode()
 	if err != nil {
 		return err
 	}
 	txn := kv.Txn{
-		Expect: []kv.Expect{{Key: tenure.CommitKey, Version: s.commit}},
-		Writes: append([]kv.Write{{Key: tenure.CommitKey, Value: value}}, writes...),
+		Expect: []kv.Expect{{Key: election.CommitKey, Version: s.commit}},
+		Writes: append([]kv.Write{{Key: election.CommitKey, Value: value}}, writes...),
 		Remove: removals,
 	}
-	begun, pause := s.desk.config.Timer.Now(), commitRetry
+	begun, pause := s.controller.config.Timer.Now(), commitRetry
 	defer s.stalled.Store(false)
 	for {
 		call, cancel := context.WithTimeout(ctx, commitTimeout)
-		stall := s.desk.config.Timer.After(stallTime)
+		stall := s.controller.config.Timer.After(stallTime)
 		s.wg.Go(func() {
 			defer stall.Stop()
 			select {
@@ -206,25 +206,25 @@
 			case <-call.Done():
 			}
 		})
-		result, err := s.desk.config.Store.Commit(call, txn)
+		result, err := s.controller.config.Store.Commit(call, txn)
 		cancel()
 		switch {
 		case err == nil && result.Committed:
-			s.desk.figures.commit.Update(s.desk.config.Timer.Now().Sub(begun).Seconds())
+			s.controller.figures.commit.Update(s.controller.config.Timer.Now().Sub(begun).Seconds())
 			s.commit = result.Version
-			s.desk.store.Observe(nil)
+			s.controller.store.Observe(nil)
 			return nil
 		case err == nil:
-			s.desk.store.Observe(nil)
+			s.controller.store.Observe(nil)
 			return s.resolve(result, mark)
 		case ctx.Err() != nil:
 			return context.Cause(ctx)
 		case problem.Is(err, problem.Invalid):
 			return err
 		}
-		s.stalled.Store(s.desk.config.Timer.Now().Sub(begun) > stallTime)
-		s.desk.store.Observe(err)
-		if err := timer.Sleep(ctx, s.desk.config.Timer, timer.Jitter(pause)); err != nil {
+		s.stalled.Store(s.controller.config.Timer.Now().Sub(begun) > stallTime)
+		s.controller.store.Observe(err)
+		if err := timer.Sleep(ctx, s.controller.config.Timer, timer.Jitter(pause)); err != nil {
 			return context.Cause(ctx)
 		}
 		pause = min(2*pause, commitRetryMost)
@@ -233,10 +233,10 @@
 
 // resolve tells from the present commit key whether an earlier attempt took
 // effect or another node has taken over.
-func (s *session) resolve(result kv.TxnResult, mark tenure.Mark) error {
-	i := slices.IndexFunc(result.Present, func(item kv.Item) bool { return item.Key == tenure.CommitKey })
+func (s *session) resolve(result kv.TxnResult, mark election.Mark) error {
+	i := slices.IndexFunc(result.Present, func(item kv.Item) bool { return item.Key == election.CommitKey })
 	if i >= 0 {
-		present, err := tenure.DecodeMark(result.Present[i].Value)
+		present, err := election.DecodeMark(result.Present[i].Value)
 		if err == nil && present == mark {
 			s.commit = result.Present[i].Version
 			return nil
@@ -248,17 +248,17 @@
 
 // release answers callers, publishes states and sends orders, after the
 // changes of a cycle are stored.
-func (s *session) release(c roster.Changes, b *batch) {
+func (s *session) release(c planner.Changes, b *batch) {
 	s.publish(c)
 	for _, reply := range b.replies {
 		reply()
 	}
 	for _, e := range b.heard {
-		e.link.release(e, s.roster.Busy(e.link.name))
+		e.link.release(e, s.planner.Busy(e.link.name))
 	}
 	for _, q := range c.Asks {
 		if err := s.asks.Put(q); err != nil {
-			_ = s.events.Put(&adviceEvent{ask: q, err: err}) // the roster asks again
+			_ = s.events.Put(&adviceEvent{ask: q, err: err}) // the planner asks again
 		}
 	}
 	for _, o := range c.Orders {
@@ -267,14 +267,14 @@
 		}
 	}
 	for _, n := range c.Notes {
-		s.desk.figures.note(n)
+		s.controller.figures.note(n)
 		s.log(n)
 	}
 }
 
 // log writes one line for a decision: what was decided, on what, and how old
 // or which version its inputs were.
-func (s *session) log(n roster.Note) {
+func (s *session) log(n planner.Note) {
 	fields := []any{"event", n.Event}
 	if n.Job != "" {
 		fields = append(fields, "job", n.Job)
@@ -293,7 +293,7 @@
 	klog.InfoS("decision", fields...)
 }
 
-func (s *session) publish(c roster.Changes) {
+func (s *session) publish(c planner.Changes) {
 	for _, j := range c.Jobs {
 		s.publishJob(j.ID)
 	}
@@ -307,66 +307,66 @@
 		s.jobs.Delete(name)
 	}
 	for _, r := range s.directory.Load().config.Routes {
-		s.queues.Set(r.Name, s.roster.Waiting(r.Name))
+		s.queues.Set(r.Name, s.planner.Waiting(r.Name))
 	}
 }
 
 func (s *session) publishJob(name id.Job) {
-	if status, ok := s.roster.Status(name); ok {
+	if status, ok := s.planner.Status(name); ok {
 		s.jobs.Set(name, status)
 	}
 }
 
 // load reads the configuration, the stored jobs and the list of workers.
 func (s *session) load(ctx context.Context) error {
-	begun := s.desk.config.Timer.Now()
+	begun := s.controller.config.Timer.Now()
 	config, err := s.awaitConfig(ctx)
 	if err != nil {
 		return errors.Wrap(err, "read the configuration")
 	}
 	s.configure(config, timer.Boot()-configWait)
-	workers, err := s.desk.config.Lists.ReadWorkers(ctx)
+	workers, err := s.controller.config.Lists.ReadWorkers(ctx)
 	if err != nil {
 		return errors.Wrap(err, "read the list of workers")
 	}
-	jobs, err := readAll[task.Job](ctx, s.desk.config.Store, jobPrefix)
+	jobs, err := readAll[task.Job](ctx, s.controller.config.Store, jobPrefix)
 	if err != nil {
 		return err
 	}
-	progress, err := readAll[task.Progress](ctx, s.desk.config.Store, progressPrefix)
+	progress, err := readAll[task.Progress](ctx, s.controller.config.Store, progressPrefix)
 	if err != nil {
 		return err
 	}
-	now := s.desk.config.Timer.Now()
-	lapse := s.desk.config.Roster.Lapse(now.Add(tenure.GraceTime))
+	now := s.controller.config.Timer.Now()
+	lapse := s.controller.config.Planner.Lapse(now.Add(election.GraceTime))
 	byJob := make(map[id.Job]task.Progress, len(progress))
 	for _, p := range progress {
 		byJob[p.Job] = p
 	}
 	for _, j := range jobs {
-		s.roster.Restore(now, lapse, j, byJob[j.ID])
+		s.planner.Restore(now, lapse, j, byJob[j.ID])
 	}
-	s.roster.Resume(now)
+	s.planner.Resume(now)
 	for _, j := range jobs {
 		s.publishJob(j.ID)
 	}
 	s.list(ctx, now, workers)
 	s.wg.Go(func() { s.followConfig(ctx, config.Version) })
 	s.wg.Go(func() { s.followWorkers(ctx, workers.Version) })
-	s.desk.figures.load.Update(s.desk.config.Timer.Now().Sub(begun).Seconds())
+	s.controller.figures.load.Update(s.controller.config.Timer.Now().Sub(begun).Seconds())
 	klog.InfoS("state loaded", "event", "load", "fence", s.term.Fence, "jobs", len(jobs), "workers", len(workers.Workers),
-		"config", s.directory.Load().config.Number, "tookMs", s.desk.config.Timer.Now().Sub(begun).Milliseconds())
+		"config", s.directory.Load().config.Number, "tookMs", s.controller.config.Timer.Now().Sub(begun).Milliseconds())
 	return nil
 }
 
 // awaitConfig reads the configuration. A new deployment has none at first.
 func (s *session) awaitConfig(ctx context.Context) (Update, error) {
 	for {
-		u, err := s.desk.config.Lists.ReadConfig(ctx)
+		u, err := s.controller.config.Lists.ReadConfig(ctx)
 		if !problem.Is(err, problem.NotFound) {
 			return u, err
 		}
-		if err := timer.Sleep(ctx, s.desk.config.Timer, 2*listRetry); err != nil {
+		if err := timer.Sleep(ctx, s.controller.config.Timer, 2*listRetry); err != nil {
 			return u, context.Cause(ctx)
 		}
 	}
--- a/lib/desk/fake_test.go
+++ b/lib/controller/fake_test.go
@@ -1,4 +1,4 @@
-package desk_test
+package controller_test
 
 import (
 	"context"
@@ -9,13 +9,13 @@
 	"testing"
 	"time"
 
-	"bronzewinch.dev/lib/desk"
+	"bronzewinch.dev/lib/controller"
+	"bronzewinch.dev/lib/election"
 	"bronzewinch.dev/lib/id"
 	"bronzewinch.dev/lib/kv"
+	"bronzewinch.dev/lib/planner"
 	"bronzewinch.dev/lib/problem"
-	"bronzewinch.dev/lib/roster"
 	"bronzewinch.dev/lib/task"
-	"bronzewinch.dev/lib/tenure"
 	"bronzewinch.dev/lib/timer"
 	"bronzewinch.dev/lib/unit"
 
@@ -132,7 +132,7 @@
 // fakeLists has one queue, one account and fixed workers.
 type fakeLists struct {
 	workers []task.Worker
-	changes chan desk.Update // changes of the list of workers, if not nil
+	changes chan controller.Update // changes of the list of workers, if not nil
 }
 
 const (
@@ -141,30 +141,30 @@
 	testQueue = "queue"
 )
 
-func (l fakeLists) ReadConfig(context.Context) (desk.Update, error) {
-	return desk.Update{Version: 1, Config: &desk.Configuration{Number: 1, Version: 1,
-		Routes: []desk.Route{{Host: testHost, Prefix: "/q/", Queue: task.Queue{Name: testQueue, Service: "service",
+func (l fakeLists) ReadConfig(context.Context) (controller.Update, error) {
+	return controller.Update{Version: 1, Config: &controller.Configuration{Number: 1, Version: 1,
+		Routes: []controller.Route{{Host: testHost, Prefix: "/q/", Queue: task.Queue{Name: testQueue, Service: "service",
 			Attempts: 2, Slack: 2, Target: time.Second}}},
-		Accounts: []desk.Account{{Name: "account", Keys: []string{testKey}, Guaranteed: 16}}}}, nil
+		Accounts: []controller.Account{{Name: "account", Keys: []string{testKey}, Guaranteed: 16}}}}, nil
 }
 
-func (l fakeLists) ReadWorkers(context.Context) (desk.Update, error) {
-	return desk.Update{Version: 1, Workers: l.workers}, nil
+func (l fakeLists) ReadWorkers(context.Context) (controller.Update, error) {
+	return controller.Update{Version: 1, Workers: l.workers}, nil
 }
 
-func (l fakeLists) NextConfig(ctx context.Context, after kv.Version, wait time.Duration) (desk.Update, error) {
-	return desk.Update{Version: after}, timer.Sleep(ctx, timer.NewSystem(), wait)
+func (l fakeLists) NextConfig(ctx context.Context, after kv.Version, wait time.Duration) (controller.Update, error) {
+	return controller.Update{Version: after}, timer.Sleep(ctx, timer.NewSystem(), wait)
 }
 
-func (l fakeLists) NextWorkers(ctx context.Context, after kv.Version, wait time.Duration) (desk.Update, error) {
+func (l fakeLists) NextWorkers(ctx context.Context, after kv.Version, wait time.Duration) (controller.Update, error) {
 	select {
 	case u := <-l.changes:
 		return u, nil
 	case <-ctx.Done():
-		return desk.Update{}, ctx.Err()
+		return controller.Update{}, ctx.Err()
 	case <-time.After(wait):
 	}
-	return desk.Update{Version: after}, nil
+	return controller.Update{Version: after}, nil
 }
 
 // fakeWorkers runs tasks that end when the test says so.
@@ -176,7 +176,7 @@
 	seq     task.EndSeq
 	acked   task.EndSeq
 	told    map[task.EndSeq]bool // ends that a report has told of
-	started []roster.Order
+	started []planner.Order
 }
 
 func newFakeWorkers() *fakeWorkers {
@@ -209,7 +209,7 @@
 	}
 }
 
-func (w *fakeWorkers) Hold(ctx context.Context, t desk.Target, h desk.Hold) (task.Report, error) {
+func (w *fakeWorkers) Hold(ctx context.Context, t controller.Target, h controller.Hold) (task.Report, error) {
 	w.mu.Lock()
 	w.acked = max(w.acked, h.Acked)
 	w.ends[t.Worker] = slices.DeleteFunc(w.ends[t.Worker], func(e task.End) bool { return e.Seq <= h.Acked })
@@ -237,17 +237,17 @@
 		Active: slices.Clone(w.runs[t.Worker]), Ends: slices.Clone(w.ends[t.Worker])}, nil
 }
 
-func (w *fakeWorkers) Order(_ context.Context, t desk.Target, o roster.Order, _ task.Fence, _ task.ClockMillis) (roster.Answer, error) {
+func (w *fakeWorkers) Order(_ context.Context, t controller.Target, o planner.Order, _ task.Fence, _ task.ClockMillis) (planner.Answer, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	defer w.notify()
-	if o.Kind == roster.Start {
+	if o.Kind == planner.Start {
 		w.started = append(w.started, o)
 		w.runs[t.Worker] = append(w.runs[t.Worker], task.Active{Task: o.Task, Run: o.Run})
-		return roster.Accepted, nil
+		return planner.Accepted, nil
 	}
 	w.end(t.Worker, task.Stopped)
-	return roster.Accepted, nil
+	return planner.Accepted, nil
 }
 
 // end ends all runs of a worker. The lock is held.
@@ -276,16 +276,16 @@
 	w.runs[name] = slices.DeleteFunc(all, func(a task.Active) bool { return a.Task.Job == job })
 }
 
-// testDesk is a desk that owns the scheduler.
-type testDesk struct {
-	*desk.Desk
-	store   *fakeStore
-	workers *fakeWorkers
-	tenure  *tenure.Tenure
+// testController is a controller that owns the scheduler.
+type testController struct {
+	*controller.Controller
+	store    *fakeStore
+	workers  *fakeWorkers
+	election *election.Election
 }
 
-// serve starts a desk on a store and workers, and waits until it serves.
-func serve(t *testing.T, store *fakeStore, workers *fakeWorkers) *testDesk {
+// serve starts a controller on a store and workers, and waits until it serves.
+func serve(t *testing.T, store *fakeStore, workers *fakeWorkers) *testController {
 	t.Helper()
 	return serveLists(t, store, workers, fakeLists{workers: testWorkers()})
 }
@@ -295,28 +295,30 @@
 		Capacity: unit.Resources{Accelerators: 8, Cores: 32 * unit.Core, Memory: 100 * unit.GiB}}}
 }
 
-// serveLists starts a desk with lists of its own.
-func serveLists(t *testing.T, store *fakeStore, workers *fakeWorkers, lists fakeLists) *testDesk {
+// serveLists starts a controller with lists of its own.
+func serveLists(t *testing.T, store *fakeStore, workers *fakeWorkers, lists fakeLists) *testController {
 	t.Helper()
-	d := desk.New(desk.Config{Node: "node", Store: store, Lists: lists, Workers: workers,
-		Roster: roster.Config{HoldMax: 6 * time.Second, RemoteFactor: 3, Keep: time.Minute, Reclaim: 3 * time.Second,
+	d := controller.New(controller.Config{Node: "node", Store: store, Lists: lists, Workers: workers,
+		Planner: planner.Config{HoldMax: 6 * time.Second, RemoteFactor: 3, Keep: time.Minute, Reclaim: 3 * time.Second,
 			StopTime: 400 * time.Millisecond},
 		Timer: timer.NewSystem(), Metrics: metrics.NewSet()})
-	tn := tenure.New(tenure.Config{Node: "node", Address: "a", Store: store, Holder: d, Timer: timer.NewSystem()})
+	tn := election.New(election.Config{Node: "node", Address: "a", Store: store, Holder: d, Timer: timer.NewSystem()})
 	t.Cleanup(tn.Close)
 	workers.await(t, "the first report", func() bool { return d.Hello("") })
-	return &testDesk{Desk: d, store: store, workers: workers, tenure: tn}
+	return &testController{Controller: d, store: store, workers: workers, election: tn}
 }
 
-func (d *testDesk) submit(name string) desk.Reply { return d.submitWithin(name, 10*time.Second) }
+func (d *testController) submit(name string) controller.Reply {
+	return d.submitWithin(name, 10*time.Second)
+}
 
-func (d *testDesk) submitWithin(name string, limit time.Duration) desk.Reply {
+func (d *testController) submitWithin(name string, limit time.Duration) controller.Reply {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	return d.Handle(ctx, desk.Request{Verb: desk.Submit, Host: testHost, Path: "/q/" + name, Key: testKey,
+	return d.Handle(ctx, controller.Request{Verb: controller.Submit, Host: testHost, Path: "/q/" + name, Key: testKey,
 		Job: &task.Job{Spec: "s", Steps: []task.Step{{Tasks: 1, Demand: unit.Resources{Accelerators: 4}, Estimate: time.Second}}}})
 }
 
-func (d *testDesk) look(name string) desk.Reply {
-	return d.Handle(context.Background(), desk.Request{Verb: desk.Look, Host: testHost, Path: "/q/" + name, Key: testKey})
+func (d *testController) look(name string) controller.Reply {
+	return d.Handle(context.Background(), controller.Request{Verb: controller.Look, Host: testHost, Path: "/q/" + name, Key: testKey})
 }
--- a/lib/desk/figures.go
+++ b/lib/controller/figures.go
@@ -1,9 +1,9 @@
-package desk
+package controller
 
 import (
 	"fmt"
 
-	"bronzewinch.dev/lib/roster"
+	"bronzewinch.dev/lib/planner"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -32,7 +32,7 @@
 }
 
 // note counts a decision.
-func (f *figures) note(n roster.Note) {
+func (f *figures) note(n planner.Note) {
 	f.set.GetOrCreateCounter(fmt.Sprintf("bronzewinch_decisions_total{event=%q}", n.Event)).Inc()
 	switch n.Event {
 	case "start":
--- a/lib/desk/link.go
+++ b/lib/controller/link.go
@@ -1,4 +1,4 @@
-package desk
+package controller
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 	"bronzewinch.dev/lib/dependency"
 	"bronzewinch.dev/lib/id"
 	"bronzewinch.dev/lib/pipe"
-	"bronzewinch.dev/lib/roster"
+	"bronzewinch.dev/lib/planner"
 	"bronzewinch.dev/lib/task"
 	"bronzewinch.dev/lib/timer"
 
@@ -59,7 +59,7 @@
 type Workers interface {
 	Hold(ctx context.Context, t Target, h Hold) (task.Report, error)
 	// Order sends an order with a lease until a time on the worker's clock.
-	Order(ctx context.Context, t Target, o roster.Order, fence task.Fence, until task.ClockMillis) (roster.Answer, error)
+	Order(ctx context.Context, t Target, o planner.Order, fence task.Fence, until task.ClockMillis) (planner.Answer, error)
 }
 
 // link carries orders to one worker and its reports back. It is one shard of
@@ -67,7 +67,7 @@
 type link struct {
 	session *session
 	name    id.Worker
-	orders  *pipe.Queue[roster.Order]
+	orders  *pipe.Queue[planner.Order]
 	contact *dependency.Dependency
 	wake    chan struct{}
 	stop    context.CancelFunc
@@ -86,8 +86,8 @@
 }
 
 func newLink(ctx context.Context, s *session, w task.Worker) *link {
-	l := &link{session: s, name: w.ID, orders: pipe.NewQueue[roster.Order](orderLimit), wake: make(chan struct{}, 1),
-		contact: dependency.New("worker "+string(w.ID), s.desk.config.Timer)}
+	l := &link{session: s, name: w.ID, orders: pipe.NewQueue[planner.Order](orderLimit), wake: make(chan struct{}, 1),
+		contact: dependency.New("worker "+string(w.ID), s.controller.config.Timer)}
 	l.target = Target{Worker: w.ID, Address: w.Address, Incarnation: w.Incarnation}
 	ctx, l.stop = context.WithCancel(ctx)
 	s.wg.Go(func() { l.poll(ctx) })
@@ -115,7 +115,7 @@
 	}
 	l.target = Target{Worker: w.ID, Address: w.Address, Incarnation: w.Incarnation}
 	l.unlisted = time.Time{}
-	l.busy = true // the roster waits for a report of a worker that is listed anew
+	l.busy = true // the planner waits for a report of a worker that is listed anew
 	l.signal()
 }
 
@@ -147,7 +147,7 @@
 }
 
 // send queues an order. Orders reach the worker in turn.
-func (l *link) send(o roster.Order) {
+func (l *link) send(o planner.Order) {
 	if err := l.orders.Put(o); err != nil {
 		klog.InfoS("order dropped", "event", "order", "worker", l.name, "task", o.Task.String(), "cause", err)
 	}
@@ -183,7 +183,7 @@
 		return 0
 	}
 	return l.clock + task.ClockMillis(now.Sub(l.clockAt).Milliseconds()) +
-		task.ClockMillis(l.session.desk.config.Roster.HoldMax.Milliseconds())
+		task.ClockMillis(l.session.controller.config.Planner.HoldMax.Milliseconds())
 }
 
 // poll asks for reports as long as the worker is busy or has ends that are
@@ -212,13 +212,13 @@
 			l.pause(ctx, holdWait) // until the cycle has stored the report
 			continue
 		}
-		_ = timer.Sleep(ctx, l.session.desk.config.Timer, probePause)
+		_ = timer.Sleep(ctx, l.session.controller.config.Timer, probePause)
 	}
 }
 
 // pause waits for a signal, for d at most.
 func (l *link) pause(ctx context.Context, d time.Duration) {
-	after := l.session.desk.config.Timer.After(d)
+	after := l.session.controller.config.Timer.After(d)
 	defer after.Stop()
 	select {
 	case <-l.wake:
@@ -229,7 +229,7 @@
 
 // ask makes one call for a report. Its answer comes at once if quick is true.
 func (l *link) ask(ctx context.Context, quick bool) bool {
-	clock := l.session.desk.config.Timer
+	clock := l.session.controller.config.Timer
 	now := clock.Now()
 	l.mu.Lock()
 	target := l.target
@@ -246,7 +246,7 @@
 	l.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, h.Wait+holdTimeout)
 	defer cancel()
-	report, err := l.session.desk.config.Workers.Hold(call, target, h)
+	report, err := l.session.controller.config.Workers.Hold(call, target, h)
 	if err != nil {
 		l.failed(ctx, err)
 		return false
@@ -287,7 +287,7 @@
 }
 
 func (e *reportEvent) apply(s *session, now time.Time, b *batch) {
-	s.roster.Heard(now, e.sent, e.report)
+	s.planner.Heard(now, e.sent, e.report)
 	b.heard = append(b.heard, e)
 }
 
@@ -301,22 +301,22 @@
 }
 
 type answerEvent struct {
-	order  roster.Order
-	answer roster.Answer
+	order  planner.Order
+	answer planner.Answer
 }
 
 func (e *answerEvent) apply(s *session, now time.Time, _ *batch) {
-	s.roster.Answered(now, e.order, e.answer)
+	s.planner.Answered(now, e.order, e.answer)
 }
 
 // carryOut sends one order, and sends it again if no answer comes.
-func (l *link) carryOut(ctx context.Context, o roster.Order) {
-	answer := roster.NotSent
+func (l *link) carryOut(ctx context.Context, o planner.Order) {
+	answer := planner.NotSent
 	for attempt := range orderAttempts {
-		now := l.session.desk.config.Timer.Now()
+		now := l.session.controller.config.Timer.Now()
 		l.mu.Lock()
 		target, until := l.target, l.until(now)
-		if until > 0 && o.Kind == roster.Start {
+		if until > 0 && o.Kind == planner.Start {
 			l.grant = now
 		}
 		l.mu.Unlock()
@@ -324,7 +324,7 @@
 			break
 		}
 		call, cancel := context.WithTimeout(ctx, orderTimeout)
-		a, err := l.session.desk.config.Workers.Order(call, target, o, l.session.term.Fence, until)
+		a, err := l.session.controller.config.Workers.Order(call, target, o, l.session.term.Fence, until)
 		cancel()
 		if err == nil {
 			answer = a
@@ -333,11 +333,11 @@
 		if ctx.Err() != nil {
 			return
 		}
-		answer = roster.Unanswered
+		answer = planner.Unanswered
 		klog.InfoS("order not answered", "event", "order", "kind", o.Kind, "task", o.Task.String(), "run", o.Run,
 			"worker", o.Worker, "attempt", attempt+1, "cause", err)
 	}
-	if answer != roster.Accepted {
+	if answer != planner.Accepted {
 		klog.InfoS("order not accepted", "event", "order", "kind", o.Kind, "task", o.Task.String(), "run", o.Run,
 			"worker", o.Worker, "answer", answer)
 	}
--- a/lib/desk/lists.go
+++ b/lib/controller/lists.go
@@ -1,4 +1,4 @@
-package desk
+package controller
 
 import (
 	"context"
@@ -6,8 +6,8 @@
 
 	"bronzewinch.dev/lib/id"
 	"bronzewinch.dev/lib/kv"
+	"bronzewinch.dev/lib/planner"
 	"bronzewinch.dev/lib/problem"
-	"bronzewinch.dev/lib/roster"
 	"bronzewinch.dev/lib/task"
 	"bronzewinch.dev/lib/timer"
 	"bronzewinch.dev/lib/unit"
@@ -25,15 +25,15 @@
 	old := s.directory.Load()
 	if u.Config != nil && (old == nil || u.Config.Version > old.config.Version) {
 		s.directory.Store(newDirectory(*u.Config))
-		s.roster.Configure(rules(*u.Config))
+		s.planner.Configure(rules(*u.Config))
 		klog.InfoS("configuration in force", "event", "config", "config", u.Config.Number, "routes", len(u.Config.Routes),
 			"storeVersion", u.Version)
 	}
 	s.confirmed.Store(int64(read))
 }
 
-func rules(c Configuration) roster.Rules {
-	r := roster.Rules{Queues: make(map[task.QueueName]task.Queue), Guaranteed: make(map[id.Account]unit.Accelerators)}
+func rules(c Configuration) planner.Rules {
+	r := planner.Rules{Queues: make(map[task.QueueName]task.Queue), Guaranteed: make(map[id.Account]unit.Accelerators)}
 	for _, route := range c.Routes {
 		r.Queues[route.Name] = route.Queue
 	}
@@ -45,23 +45,23 @@
 
 type configEvent struct{ config Configuration }
 
-func (e configEvent) apply(s *session, _ time.Time, _ *batch) { s.roster.Configure(rules(e.config)) }
+func (e configEvent) apply(s *session, _ time.Time, _ *batch) { s.planner.Configure(rules(e.config)) }
 
 // followConfig watches the configuration. The directory of calls changes at
-// once, and the roster with the next cycle.
+// once, and the planner with the next cycle.
 func (s *session) followConfig(ctx context.Context, version kv.Version) {
 	for ctx.Err() == nil {
 		sent := timer.Boot()
-		u, err := s.desk.config.Lists.NextConfig(ctx, version, configWait)
+		u, err := s.controller.config.Lists.NextConfig(ctx, version, configWait)
 		if problem.Is(err, problem.Expired) {
 			sent = timer.Boot()
-			u, err = s.desk.config.Lists.ReadConfig(ctx)
+			u, err = s.controller.config.Lists.ReadConfig(ctx)
 		}
 		if err != nil {
 			s.listFailed(ctx, err)
 			continue
 		}
-		s.desk.lists.Observe(nil)
+		s.controller.lists.Observe(nil)
 		version = max(version, u.Version)
 		if u.Config != nil && u.Config.Version > s.directory.Load().config.Version {
 			s.directory.Store(newDirectory(*u.Config))
@@ -81,25 +81,25 @@
 	if ctx.Err() != nil {
 		return
 	}
-	s.desk.lists.Observe(err)
-	_ = timer.Sleep(ctx, s.desk.config.Timer, timer.Jitter(listRetry))
+	s.controller.lists.Observe(err)
+	_ = timer.Sleep(ctx, s.controller.config.Timer, timer.Jitter(listRetry))
 }
 
 type workersEvent struct{ update Update }
 
 func (e workersEvent) apply(s *session, now time.Time, _ *batch) {
 	for _, w := range e.update.Workers {
-		s.roster.Listed(now, w)
+		s.planner.Listed(now, w)
 	}
 	for _, name := range e.update.Removed {
-		s.roster.Unlisted(now, name)
+		s.planner.Unlisted(now, name)
 		if l, ok := s.links.Get(name); ok {
 			l.drop(now)
 		}
 	}
 }
 
-// list opens links to the workers of an update and passes it to the roster.
+// list opens links to the workers of an update and passes it to the planner.
 func (s *session) list(ctx context.Context, now time.Time, u Update) {
 	for _, w := range u.Workers {
 		s.links.Update(w.ID, func(l *link, ok bool) (*link, bool) {
@@ -117,9 +117,9 @@
 // followWorkers watches the list of workers.
 func (s *session) followWorkers(ctx context.Context, version kv.Version) {
 	for ctx.Err() == nil {
-		u, err := s.desk.config.Lists.NextWorkers(ctx, version, workersWait)
+		u, err := s.controller.config.Lists.NextWorkers(ctx, version, workersWait)
 		if problem.Is(err, problem.Expired) {
-			if u, err = s.desk.config.Lists.ReadWorkers(ctx); err == nil {
+			if u, err = s.controller.config.Lists.ReadWorkers(ctx); err == nil {
 				u.Removed = s.missing(u.Workers)
 			}
 		}
--- a/lib/desk/request.go
+++ b/lib/controller/request.go
@@ -1,9 +1,9 @@
-// Package desk is the runtime of the scheduler on the node that owns it. Calls
+// Package controller is the runtime of the scheduler on the node that owns it. Calls
 // of clients and reports of workers pass the stages authenticate, route,
 // decide, plan, store, release: a cycle takes all events that wait, lets the
-// roster decide on them, stores what has changed in one transaction, and only
+// planner decide on them, stores what has changed in one transaction, and only
 // then answers callers and sends orders.
-package desk
+package controller
 
 import (
 	"context"
@@ -158,7 +158,7 @@
 // Error is never shown; the reply tells what happened.
 func (e ended) Error() string { return string(e.reply.Outcome) }
 
-func (d *Desk) findRoute(_ context.Context, c call) (call, error) {
+func (d *Controller) findRoute(_ context.Context, c call) (call, error) {
 	route, rest, ok := c.dir.route(c.Host, c.Path)
 	if !ok {
 		return c, ended{Reply{Outcome: NoQueue, Detail: "use a host and path of a queue in the configuration"}}
@@ -167,7 +167,7 @@
 	return c, nil
 }
 
-func (d *Desk) authenticate(_ context.Context, c call) (call, error) {
+func (d *Controller) authenticate(_ context.Context, c call) (call, error) {
 	account, ok := c.dir.accounts[c.Key]
 	if !ok && !c.route.Public {
 		return c, ended{Reply{Outcome: Unauthorized, Detail: "send a current key of the client account"}}
@@ -179,7 +179,7 @@
 // jobIDLen is the length of a job id in hexadecimal digits.
 const jobIDLen = 16
 
-func (d *Desk) checkJob(_ context.Context, c call) (call, error) {
+func (d *Controller) checkJob(_ context.Context, c call) (call, error) {
 	if c.job == "" && c.Verb == Look {
 		return c, nil
 	}
--- a/lib/tenure/tenure.go
+++ b/lib/election/election.go
@@ -1,8 +1,8 @@
-// Package tenure decides which node owns the scheduler. The owner holds a key
+// Package election decides which node owns the scheduler. The owner holds a key
 // in the key-value service under a lease. Each change of owner raises the
 // fence and replaces the version of the commit key, so that neither workers
 // nor the service accept anything from an earlier owner.
-package tenure
+package election
 
 import (
 	"context"
@@ -116,7 +116,7 @@
 
 func (t *Term) age() time.Duration { return timer.Boot() - time.Duration(t.renewed.Load()) }
 
-// Config configures a Tenure.
+// Config configures a Election.
 type Config struct {
 	Node    id.Node
 	Address string
@@ -125,13 +125,13 @@
 	Timer   timer.Service
 }
 
-// Tenure follows the owner key, and campaigns when there is no owner.
-type Tenure struct {
-	config Config
-	poke   chan struct{}
-	store  *dependency.Dependency
-	stop   context.CancelFunc
-	wg     sync.WaitGroup
+// Election follows the owner key, and campaigns when there is no owner.
+type Election struct {
+	config  Config
+	recheck chan struct{}
+	store   *dependency.Dependency
+	stop    context.CancelFunc
+	wg      sync.WaitGroup
 
 	mu    sync.Mutex
 	owner Owner
@@ -139,28 +139,28 @@
 }
 
 // New starts to follow the owner.
-func New(c Config) *Tenure {
+func New(c Config) *Election {
 	ctx, cancel := context.WithCancel(context.Background())
-	t := &Tenure{config: c, poke: make(chan struct{}, 1), store: dependency.New("ownerKey", c.Timer), stop: cancel}
+	t := &Election{config: c, recheck: make(chan struct{}, 1), store: dependency.New("ownerKey", c.Timer), stop: cancel}
 	t.wg.Go(func() { t.follow(ctx) })
 	return t
 }
 
 // Close gives ownership up and stops.
-func (t *Tenure) Close() {
+func (t *Election) Close() {
 	t.stop()
 	t.wg.Wait()
 }
 
 // Owner returns the owner as last seen. Its Node is empty when there is none.
-func (t *Tenure) Owner() Owner {
+func (t *Election) Owner() Owner {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.owner
 }
 
 // Told takes over an owner that another node has told of.
-func (t *Tenure) Told(o Owner) {
+func (t *Election) Told(o Owner) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if o.Fence > t.owner.Fence {
@@ -170,14 +170,14 @@
 
 // Check makes the node read the owner key at once, because the owner did not
 // answer.
-func (t *Tenure) Check() {
+func (t *Election) Check() {
 	select {
-	case t.poke <- struct{}{}:
+	case t.recheck <- struct{}{}:
 	default:
 	}
 }
 
-func (t *Tenure) set(o Owner) {
+func (t *Election) set(o Owner) {
 	t.mu.Lock()
 	changed := t.owner != o
 	t.owner = o
@@ -187,7 +187,7 @@
 	}
 }
 
-func (t *Tenure) follow(ctx context.Context) {
+func (t *Election) follow(ctx context.Context) {
 	pause := retryWait
 	for ctx.Err() == nil {
 		version, found, err := t.read(ctx)
@@ -214,14 +214,14 @@
 	}
 }
 
-func (t *Tenure) resting() bool {
+func (t *Election) resting() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.config.Timer.Now().Before(t.rest)
 }
 
 // read returns whether there is an owner, and the version to watch from.
-func (t *Tenure) read(ctx context.Context) (kv.Version, bool, error) {
+func (t *Election) read(ctx context.Context) (kv.Version, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	items, version, err := t.config.Store.ListAll(ctx, OwnerKey)
@@ -247,7 +247,7 @@
 const watchWait = 3 * time.Second
 
 // wait returns when the owner key has changed, or after Check.
-func (t *Tenure) wait(ctx context.Context, version kv.Version) {
+func (t *Election) wait(ctx context.Context, version kv.Version) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	done := make(chan struct{})
@@ -263,7 +263,7 @@
 	})
 	select {
 	case <-done:
-	case <-t.poke:
+	case <-t.recheck:
 		cancel()
 		<-done
 		// Pokes come with each failed call; reading more often than this would
@@ -275,7 +275,7 @@
 
 // campaign tries to become the owner, and works as the owner until the term
 // is over.
-func (t *Tenure) campaign(ctx context.Context) error {
+func (t *Election) campaign(ctx context.Context) error {
 	term, err := t.win(ctx)
 	if err != nil {
 		return err
@@ -307,7 +307,7 @@
 }
 
 // win writes the owner key and raises the fence in one transaction.
-func (t *Tenure) win(ctx context.Context) (*Term, error) {
+func (t *Election) win(ctx context.Context) (*Term, error) {
 	ctx, cancel := context.WithTimeout(ctx, 3*callTimeout)
 	defer cancel()
 	var mark Mark
@@ -353,7 +353,7 @@
 }
 
 // renew keeps the lease of a term until the term is over.
-func (t *Tenure) renew(ctx context.Context, term *Term) {
+func (t *Election) renew(ctx context.Context, term *Term) {
 	tick := t.config.Timer.Every(renewPeriod)
 	defer tick.Stop()
 	for {
--- a/lib/roster/advice.go
+++ b/lib/planner/advice.go
@@ -1,4 +1,4 @@
-package roster
+package planner
 
 import (
 	"cmp"
@@ -93,7 +93,7 @@
 
 // Advised takes over the answer to a question, with tickets that are valid
 // until a time. An error leaves the question open for another try.
-func (r *Roster) Advised(q Ask, good []Ticket, until time.Time, err error) {
+func (r *Planner) Advised(q Ask, good []Ticket, until time.Time, err error) {
 	j := r.jobs[q.Job]
 	if j == nil {
 		return
--- a/lib/roster/advice_test.go
+++ b/lib/planner/advice_test.go
@@ -1,4 +1,4 @@
-package roster_test
+package planner_test
 
 import (
 	"errors"
@@ -6,7 +6,7 @@
 	"time"
 
 	"bronzewinch.dev/lib/id"
-	"bronzewinch.dev/lib/roster"
+	"bronzewinch.dev/lib/planner"
 	"bronzewinch.dev/lib/task"
 
 	"github.com/matryer/is"
@@ -18,9 +18,9 @@
 func TestAdvice(t *testing.T) {
 	is := is.New(t)
 	s := newSim(t, 1, 3)
-	s.r.Configure(roster.Rules{Queues: map[task.QueueName]task.Queue{"q1": {Name: "q1", Service: simService, Priority: 1, Attempts: 4,
+	s.r.Configure(planner.Rules{Queues: map[task.QueueName]task.Queue{"q1": {Name: "q1", Service: simService, Priority: 1, Attempts: 4,
 		Slack: 3, Advised: true}}})
-	plan := func(after time.Duration) roster.Changes {
+	plan := func(after time.Duration) planner.Changes {
 		s.now = s.now.Add(after)
 		s.r.Tick(s.now)
 		s.r.Plan(s.now)
@@ -35,7 +35,7 @@
 	s.r.Advised(first.Asks[0], nil, time.Time{}, errors.New("busy"))
 	again := plan(0)
 	is.Equal(len(again.Asks), 1)
-	s.r.Advised(again.Asks[0], []roster.Ticket{{Worker: "w-01", Value: "ticket"}}, s.now.Add(3*time.Second), nil)
+	s.r.Advised(again.Asks[0], []planner.Ticket{{Worker: "w-01", Value: "ticket"}}, s.now.Add(3*time.Second), nil)
 	started := plan(0)
 	is.Equal(len(started.Orders), 8) // the ninth task has no room on the one worker
 	for _, o := range started.Orders {
@@ -43,7 +43,7 @@
 		is.Equal(o.Ticket, "ticket")
 	}
 	is.Equal(len(plan(time.Second).Asks), 0) // the others may never run the step
-	s.r.Answered(s.now, started.Orders[0], roster.NoTicket)
+	s.r.Answered(s.now, started.Orders[0], planner.NoTicket)
 	next := plan(600 * time.Millisecond) // the worker is left out for a moment
 	is.Equal(len(next.Orders), 0)
 	is.Equal(len(next.Asks), 1)
--- a/lib/roster/claim.go
+++ b/lib/planner/claim.go
@@ -1,4 +1,4 @@
-package roster
+package planner
 
 import (
 	"cmp"
--- a/lib/roster/claim_test.go
+++ b/lib/planner/claim_test.go
@@ -1,11 +1,11 @@
-package roster_test
+package planner_test
 
 import (
 	"testing"
 	"time"
 
 	"bronzewinch.dev/lib/id"
-	"bronzewinch.dev/lib/roster"
+	"bronzewinch.dev/lib/planner"
 	"bronzewinch.dev/lib/task"
 	"bronzewinch.dev/lib/unit"
 
@@ -16,7 +16,7 @@
 func claimSim(t *testing.T, workers int, guaranteed unit.Accelerators) *sim {
 	t.Helper()
 	s := newSim(t, 1, workers)
-	rules := roster.Rules{Queues: make(map[task.QueueName]task.Queue),
+	rules := planner.Rules{Queues: make(map[task.QueueName]task.Queue),
 		Guaranteed: map[id.Account]unit.Accelerators{"a": guaranteed, "b": guaranteed}}
 	for p := range 3 {
 		rules.Queues[simQueue(p)] = task.Queue{Name: simQueue(p), Service: simService, Priority: task.Priority(p), Attempts: 4,
@@ -26,7 +26,7 @@
 	return s
 }
 
-func count(orders []roster.Order, kind roster.OrderKind) int {
+func count(orders []planner.Order, kind planner.OrderKind) int {
 	n := 0
 	for _, o := range orders {
 		if o.Kind == kind {
@@ -68,13 +68,13 @@
 			s := claimSim(t, 2, 8)
 			filler := single(1, test.filler)
 			filler.Account = test.fillerAccount
-			is.Equal(count(place(s, filler, test.fillerPriority), roster.Start), test.filler.Tasks)
+			is.Equal(count(place(s, filler, test.fillerPriority), planner.Start), test.filler.Tasks)
 			s.now = s.now.Add(test.ran)
 			s.r.Granted("w-00", s.now)
 			s.r.Granted("w-01", s.now)
 			claimant := single(2, test.claimant)
 			claimant.Account = test.claimantAccount
-			is.Equal(count(place(s, claimant, test.priority), roster.Stop), test.stops)
+			is.Equal(count(place(s, claimant, test.priority), planner.Stop), test.stops)
 		})
 	}
 }
@@ -99,7 +99,7 @@
 	starts := func() int {
 		s.r.Tick(s.now)
 		s.r.Plan(s.now)
-		return count(s.r.Take().Orders, roster.Start)
+		return count(s.r.Take().Orders, planner.Start)
 	}
 	place(s, gang, 0)
 	s.now = s.now.Add(1400 * time.Millisecond)
@@ -123,9 +123,9 @@
 	s := claimSim(t, 2, 16)
 	serving := single(1, task.Step{Tasks: 2, MaxPerWorker: 1, Service: true, MaxAway: 1,
 		Demand: unit.Resources{Accelerators: 4, Cores: unit.Core}})
-	is.Equal(count(place(s, single(2, task.Step{Tasks: 16}), 1), roster.Start), 16)
+	is.Equal(count(place(s, single(2, task.Step{Tasks: 16}), 1), planner.Start), 16)
 	// Work that can be repeated makes room.
-	is.Equal(count(place(s, serving, 1), roster.Stop), 8)
+	is.Equal(count(place(s, serving, 1), planner.Stop), 8)
 	s.r.Plan(s.now)
 	for _, w := range s.workers {
 		var ends []task.End
@@ -136,9 +136,9 @@
 		s.r.Heard(s.now, s.now, task.Report{Worker: w.ID, Incarnation: 1, Ends: ends})
 	}
 	s.r.Plan(s.now)
-	var serve []roster.Order
+	var serve []planner.Order
 	for _, o := range s.r.Take().Orders {
-		if o.Kind == roster.Start && o.Task.Job == serving.ID {
+		if o.Kind == planner.Start && o.Task.Job == serving.ID {
 			serve = append(serve, o)
 		}
 	}
@@ -151,7 +151,7 @@
 	guaranteed.Account = "a"
 	stopped := 0
 	for _, o := range place(s, guaranteed, 0) {
-		if o.Kind == roster.Stop && o.Task.Job == serving.ID {
+		if o.Kind == planner.Stop && o.Task.Job == serving.ID {
 			stopped++
 		}
 	}
--- a/lib/roster/job.go
+++ b/lib/planner/job.go
@@ -1,4 +1,4 @@
-package roster
+package planner
 
 import (
 	"slices"
@@ -74,7 +74,7 @@
 func (g *group) idle() bool { return !g.done && len(g.members) == 0 }
 
 // Submit accepts a job. A job that is known already is left as it is.
-func (r *Roster) Submit(now time.Time, t task.Job) error {
+func (r *Planner) Submit(now time.Time, t task.Job) error {
 	if known, ok := r.jobs[t.ID]; ok {
 		if known.Queue != t.Queue {
 			return problem.New(problem.Conflict, problem.Detail{
@@ -104,7 +104,7 @@
 }
 
 // Cancel ends a job. It returns NotFound when the job is not known.
-func (r *Roster) Cancel(now time.Time, name id.Job) error {
+func (r *Planner) Cancel(now time.Time, name id.Job) error {
 	j, ok := r.jobs[name]
 	if !ok {
 		return problem.New(problem.NotFound, problem.Detail{Field: "job", Value: string(name), Remedy: "check the id"})
@@ -130,7 +130,7 @@
 func (j *job) occurrences() int { return max(1, j.Occurrences) }
 
 // openDue opens the occurrences whose time has come.
-func (r *Roster) openDue(now time.Time, j *job) {
+func (r *Planner) openDue(now time.Time, j *job) {
 	for j.next < j.occurrences() {
 		due := j.Accepted
 		if j.Occurrences > 0 {
@@ -173,7 +173,7 @@
 	return true
 }
 
-func (r *Roster) groupDone(now time.Time, g *group) {
+func (r *Planner) groupDone(now time.Time, g *group) {
 	if g.done {
 		return
 	}
@@ -198,7 +198,7 @@
 }
 
 // finish puts a job into a final state and stops what still runs of it.
-func (r *Roster) finish(now time.Time, j *job, state task.State, reason string) {
+func (r *Planner) finish(now time.Time, j *job, state task.State, reason string) {
 	j.state, j.ended = state, now
 	r.active = slices.DeleteFunc(r.active, func(other *job) bool { return other == j })
 	for _, o := range j.open {
@@ -213,7 +213,7 @@
 }
 
 // stopGroup orders all members of a group to stop.
-func (r *Roster) stopGroup(now time.Time, g *group, reason string) {
+func (r *Planner) stopGroup(now time.Time, g *group, reason string) {
 	if len(g.members) == 0 || g.stopping {
 		return
 	}
@@ -261,7 +261,7 @@
 // Restore adds a job that an earlier owner stored. Members of runs in progress
 // count as present on their workers until a report or the lapse of the
 // earlier owner's grants tells otherwise.
-func (r *Roster) Restore(now, lapse time.Time, t task.Job, p task.Progress) {
+func (r *Planner) Restore(now, lapse time.Time, t task.Job, p task.Progress) {
 	q, ok := r.rules.Queues[t.Queue]
 	if !ok {
 		q = task.Queue{Name: t.Queue, Attempts: 1}
@@ -296,7 +296,7 @@
 	r.openDue(now, j)
 }
 
-func (r *Roster) restoreGroup(now, lapse time.Time, g *group, p task.GroupProgress) {
+func (r *Planner) restoreGroup(now, lapse time.Time, g *group, p task.GroupProgress) {
 	g.done, g.run, g.failures, g.saved = p.Done, p.Run, p.Failures, p.Checkpoint
 	g.started = now
 	if p.Done {
@@ -317,7 +317,7 @@
 
 // Resume orders the accepted jobs by their time and stops the runs of jobs
 // that ended. It is called once, after the last Restore.
-func (r *Roster) Resume(now time.Time) {
+func (r *Planner) Resume(now time.Time) {
 	r.resumed = now
 	slices.SortStableFunc(r.active, func(a, b *job) int { return a.Accepted.Compare(b.Accepted) })
 	for _, j := range r.jobs {
--- a/lib/roster/plan.go
+++ b/lib/planner/plan.go
@@ -1,4 +1,4 @@
-package roster
+package planner
 
 import (
 	"cmp"
@@ -22,7 +22,7 @@
 
 // pass is one planning pass over all jobs.
 type pass struct {
-	r     *Roster
+	r     *Planner
 	now   time.Time
 	rooms []*room
 	// protected holds the jobs that lie within a guarantee.
@@ -31,13 +31,13 @@
 
 // Plan starts what fits, guaranteed work first, and stops other work where a
 // guarantee needs its room.
-func (r *Roster) Plan(now time.Time) {
+func (r *Planner) Plan(now time.Time) {
 	if r.awaits(now) {
 		return
 	}
 	p := &pass{r: r, now: now, protected: r.guaranteed()}
 	for _, w := range r.workers {
-		if !w.listed || !w.met || w.Draining || now.Before(w.barred) {
+		if !w.listed || !w.reported || w.Draining || now.Before(w.barred) {
 			continue
 		}
 		free := w.free()
@@ -55,19 +55,19 @@
 	}
 }
 
-// meetTime bounds the time for which a new owner waits for the first reports of
+// firstReportTime bounds the time for which a new owner waits for the first reports of
 // all workers. They answer within milliseconds.
-const meetTime = 400 * time.Millisecond
+const firstReportTime = 400 * time.Millisecond
 
 // awaits reports whether workers still have to answer a new owner for the
 // first time. Before that their room is not known, and a guarantee would stop
 // work that need not stop.
-func (r *Roster) awaits(now time.Time) bool {
-	if now.Sub(r.resumed) >= meetTime {
+func (r *Planner) awaits(now time.Time) bool {
+	if now.Sub(r.resumed) >= firstReportTime {
 		return false
 	}
 	for _, w := range r.workers {
-		if w.listed && !w.met {
+		if w.listed && !w.reported {
 			return true
 		}
 	}
@@ -77,7 +77,7 @@
 // guaranteed returns the jobs that their accounts can claim room for: those of
 // the first priority, in order of acceptance, as long as their sum stays
 // within the guarantee.
-func (r *Roster) guaranteed() map[*job]bool {
+func (r *Planner) guaranteed() map[*job]bool {
 	used := make(map[id.Account]unit.Accelerators)
 	within := make(map[*job]bool)
 	for _, j := range r.active {
@@ -127,7 +127,7 @@
 }
 
 // deadline is the objective of a job's oldest open occurrence.
-func (r *Roster) deadline(j *job) time.Time {
+func (r *Planner) deadline(j *job) time.Time {
 	from := j.Accepted
 	if j.Occurrences > 0 && len(j.open) > 0 {
 		from = j.open[0].due
@@ -136,7 +136,7 @@
 }
 
 // chain is the expected time of a job's longest chain of steps.
-func (r *Roster) chain(j *job) time.Duration {
+func (r *Planner) chain(j *job) time.Duration {
 	ends := make([]time.Duration, len(j.Steps))
 	var longest time.Duration
 	for i, s := range j.Steps {
@@ -151,7 +151,7 @@
 }
 
 // expected is the expected run time of a task.
-func (r *Roster) expected(j *job, s task.Step) time.Duration {
+func (r *Planner) expected(j *job, s task.Step) time.Duration {
 	if e := r.runTime[j.Queue]; e != nil {
 		return time.Duration(e.ratio * float64(s.Estimate))
 	}
--- a/lib/roster/roster.go
+++ b/lib/planner/planner.go
@@ -1,8 +1,8 @@
-// Package roster is the state of the jobs and workers of a deployment on the
+// Package planner is the state of the jobs and workers of a deployment on the
 // node that owns it, and the decisions taken on that state: what starts where,
 // what is stopped, and when a job is over. It makes no calls: events go in,
 // and the records to store and the orders to send come out.
-package roster
+package planner
 
 import (
 	"time"
@@ -96,8 +96,8 @@
 	Notes   []Note
 }
 
-// Roster is the state. It is used by one goroutine at a time.
-type Roster struct {
+// Planner is the state. It is used by one goroutine at a time.
+type Planner struct {
 	config  Config
 	rules   Rules
 	jobs    map[id.Job]*job
@@ -116,16 +116,16 @@
 	notes   []Note
 }
 
-// New returns a roster without jobs and workers.
-func New(c Config) *Roster {
-	return &Roster{
+// New returns a planner without jobs and workers.
+func New(c Config) *Planner {
+	return &Planner{
 		config: c, jobs: make(map[id.Job]*job), workers: make(map[id.Worker]*worker),
 		runTime: make(map[task.QueueName]*estimate), dirty: make(map[id.Job]*job),
 	}
 }
 
 // Configure puts rules into force.
-func (r *Roster) Configure(rules Rules) {
+func (r *Planner) Configure(rules Rules) {
 	r.rules = rules
 	for _, j := range r.jobs {
 		if q, ok := rules.Queues[j.Queue]; ok {
@@ -135,7 +135,7 @@
 }
 
 // Take returns what has changed since the last call.
-func (r *Roster) Take() Changes {
+func (r *Planner) Take() Changes {
 	c := Changes{Jobs: r.fresh, Begun: r.begun, Removed: r.removed, Asks: r.asks, Orders: r.orders, Notes: r.notes}
 	for _, j := range r.dirty {
 		c.Progress = append(c.Progress, j.progress())
@@ -154,7 +154,7 @@
 }
 
 // Status returns the status of a job, or false when it is not known.
-func (r *Roster) Status(name id.Job) (Status, bool) {
+func (r *Planner) Status(name id.Job) (Status, bool) {
 	j, ok := r.jobs[name]
 	if !ok {
 		return Status{}, false
@@ -163,7 +163,7 @@
 }
 
 // Waiting returns the number of jobs of a queue of which no task has started.
-func (r *Roster) Waiting(queue task.QueueName) int {
+func (r *Planner) Waiting(queue task.QueueName) int {
 	n := 0
 	for _, j := range r.active {
 		if j.Queue == queue && !j.begun {
@@ -174,16 +174,16 @@
 }
 
 // Busy reports whether a worker has runs that are not known to have ended.
-func (r *Roster) Busy(name id.Worker) bool {
+func (r *Planner) Busy(name id.Worker) bool {
 	w := r.workers[name]
 	return w != nil && len(w.members) > 0
 }
 
-func (r *Roster) note(n Note) { r.notes = append(r.notes, n) }
+func (r *Planner) note(n Note) { r.notes = append(r.notes, n) }
 
-func (r *Roster) touch(j *job) { r.dirty[j.ID] = j }
+func (r *Planner) touch(j *job) { r.dirty[j.ID] = j }
 
-func (r *Roster) order(now time.Time, kind OrderKind, m *member) {
+func (r *Planner) order(now time.Time, kind OrderKind, m *member) {
 	o := Order{Kind: kind, Worker: m.worker.ID, Incarnation: m.incarnation, Task: m.name(), Run: m.group.run, Issued: now}
 	if kind == Start {
 		o.Spec, o.Saved = m.group.job.Spec, m.group.saved
@@ -206,7 +206,7 @@
 func (o Order) OrderTime() time.Time { return o.Issued.Add(orderTime) }
 
 // Accepted returns the time at which a job was accepted.
-func (r *Roster) Accepted(name id.Job) (time.Time, bool) {
+func (r *Planner) Accepted(name id.Job) (time.Time, bool) {
 	j, ok := r.jobs[name]
 	if !ok {
 		return time.Time{}, false
--- a/lib/roster/roster_test.go
+++ b/lib/planner/planner_test.go
@@ -1,4 +1,4 @@
-package roster_test
+package planner_test
 
 import (
 	"fmt"
@@ -6,7 +6,7 @@
 	"time"
 
 	"bronzewinch.dev/lib/id"
-	"bronzewinch.dev/lib/roster"
+	"bronzewinch.dev/lib/planner"
 	"bronzewinch.dev/lib/task"
 	"bronzewinch.dev/lib/unit"
 
@@ -22,13 +22,13 @@
 }
 
 // place submits a job and plans once. It returns the orders.
-func place(s *sim, j task.Job, priority int) []roster.Order {
+func place(s *sim, j task.Job, priority int) []planner.Order {
 	s.submit(j, priority)
 	s.r.Plan(s.now)
 	return s.r.Take().Orders
 }
 
-func ended(s *sim, o roster.Order, how task.How) roster.Changes {
+func ended(s *sim, o planner.Order, how task.How) planner.Changes {
 	s.seq++
 	s.now = s.now.Add(time.Second)
 	s.r.Heard(s.now, s.now, task.Report{Worker: o.Worker, Incarnation: 1, Ends: []task.End{
@@ -57,7 +57,7 @@
 			orders := place(s, single(1, task.Step{Tasks: 1}), 1)
 			for i, how := range test.ends {
 				is.Equal(len(orders), 1)
-				is.Equal(orders[0].Kind, roster.Start)
+				is.Equal(orders[0].Kind, planner.Start)
 				is.Equal(orders[0].Run, task.Run(i+1))
 				orders = ended(s, orders[0], how).Orders
 			}
@@ -90,21 +90,21 @@
 		name   string
 		step   task.Step
 		starts int
-		check  func(orders []roster.Order) bool
+		check  func(orders []planner.Order) bool
 	}{
 		{"no worker has the label", task.Step{Tasks: 1, Label: "b"}, 0, nil},
 		{"the label of all", task.Step{Tasks: 1, Label: "a"}, 1, nil},
-		{"near its data", task.Step{Tasks: 2, DataRack: "r-1"}, 2, func(o []roster.Order) bool {
+		{"near its data", task.Step{Tasks: 2, DataRack: "r-1"}, 2, func(o []planner.Order) bool {
 			return o[0].Worker >= "w-06" && o[1].Worker >= "w-06"
 		}},
-		{"at most two on a worker", task.Step{Tasks: 6, MaxPerWorker: 2}, 6, func(o []roster.Order) bool {
+		{"at most two on a worker", task.Step{Tasks: 6, MaxPerWorker: 2}, 6, func(o []planner.Order) bool {
 			n := make(map[id.Worker]int)
 			for _, x := range o {
 				n[x.Worker]++
 			}
 			return len(n) == 3
 		}},
-		{"gang in one rack", task.Step{Tasks: 6, Gang: true, SameRack: true, Demand: whole}, 6, func(o []roster.Order) bool {
+		{"gang in one rack", task.Step{Tasks: 6, Gang: true, SameRack: true, Demand: whole}, 6, func(o []planner.Order) bool {
 			for _, x := range o {
 				if (x.Worker >= "w-06") != (o[0].Worker >= "w-06") {
 					return false
@@ -140,7 +140,7 @@
 	s.r.Plan(s.now)
 	stop := s.r.Take().Orders
 	is.Equal(len(stop), 1)
-	is.Equal(stop[0].Kind, roster.Stop)
+	is.Equal(stop[0].Kind, planner.Stop)
 	for _, o := range place(s, single(2, task.Step{Tasks: 16}), 1) {
 		is.True(o.Worker != first.Worker)
 	}
@@ -152,10 +152,10 @@
 	is := is.New(t)
 	s := newSim(t, 1, 2)
 	first := place(s, single(1, task.Step{Tasks: 1}), 1)[0]
-	s.r.Answered(s.now, first, roster.Accepted)
+	s.r.Answered(s.now, first, planner.Accepted)
 	s.r.Granted(first.Worker, s.now)
 	s.r.Take()
-	pass := func(d time.Duration) []roster.Order {
+	pass := func(d time.Duration) []planner.Order {
 		s.now = s.now.Add(d)
 		s.r.Tick(s.now)
 		s.r.Plan(s.now)
@@ -191,12 +191,12 @@
 	s := newSim(t, 1, 3)
 	orders := place(s, single(1, task.Step{Tasks: 3, Gang: true, Demand: unit.Resources{Accelerators: 8, Cores: 1}}), 1)
 	is.Equal(len(orders), 3)
-	s.r.Answered(s.now, orders[0], roster.Accepted)
-	s.r.Answered(s.now, orders[1], roster.Unanswered)
+	s.r.Answered(s.now, orders[0], planner.Accepted)
+	s.r.Answered(s.now, orders[1], planner.Unanswered)
 	stops := s.r.Take().Orders
 	is.Equal(len(stops), 3)
 	for _, o := range stops {
-		is.Equal(o.Kind, roster.Stop)
+		is.Equal(o.Kind, planner.Stop)
 	}
 }
 
@@ -226,7 +226,7 @@
 	s.r.Heard(s.now, s.now, task.Report{Worker: "w-00", Incarnation: 1, Active: []task.Active{{Task: stray, Run: 4}}})
 	orders := s.r.Take().Orders
 	is.Equal(len(orders), 1)
-	is.Equal(orders[0].Kind, roster.Stop)
+	is.Equal(orders[0].Kind, planner.Stop)
 	is.Equal(orders[0].Task, stray)
 }
 
@@ -237,7 +237,7 @@
 	old := newSim(t, 1, 2)
 	orders := place(old, single(1, task.Step{Tasks: 3, Checkpoints: true}), 1)
 	ended(old, orders[0], task.Done)
-	old.r.Answered(old.now, orders[1], roster.Accepted)
+	old.r.Answered(old.now, orders[1], planner.Accepted)
 	ended(old, orders[2], task.Faulted)
 	j := old.jobs["0000000000000001"]
 	progress := task.Progress{Job: j.ID, Occurrences: []task.OccurrenceProgress{{Groups: []task.GroupProgress{
@@ -284,8 +284,8 @@
 func TestNewOwnerMeetsWorkersFirst(t *testing.T) {
 	is := is.New(t)
 	s := newSim(t, 1, 2)
-	r := roster.New(simConfig)
-	r.Configure(roster.Rules{Queues: map[task.QueueName]task.Queue{"q0": {Name: "q0", Service: simService, Attempts: 1}}})
+	r := planner.New(simConfig)
+	r.Configure(planner.Rules{Queues: map[task.QueueName]task.Queue{"q0": {Name: "q0", Service: simService, Attempts: 1}}})
 	r.Resume(s.now)
 	for _, w := range s.workers {
 		r.Listed(s.now, w.Worker)
@@ -312,5 +312,5 @@
 			{Seq: 1, Task: o.Task, Run: 1, How: task.Faulted}}})
 	}
 	s.r.Plan(s.now)
-	is.Equal(count(s.r.Take().Orders, roster.Start), 3)
+	is.Equal(count(s.r.Take().Orders, planner.Start), 3)
 }
--- a/lib/roster/sim_test.go
+++ b/lib/planner/sim_test.go
@@ -1,4 +1,4 @@
-package roster_test
+package planner_test
 
 import (
 	"fmt"
@@ -8,16 +8,16 @@
 	"time"
 
 	"bronzewinch.dev/lib/id"
-	"bronzewinch.dev/lib/roster"
+	"bronzewinch.dev/lib/planner"
 	"bronzewinch.dev/lib/task"
 	"bronzewinch.dev/lib/unit"
 )
 
-// sim plays a roster against workers in virtual time, and checks every order
-// that the roster gives.
+// sim plays a planner against workers in virtual time, and checks every order
+// that the planner gives.
 type sim struct {
 	t       *testing.T
-	r       *roster.Roster
+	r       *planner.Planner
 	random  *rand.Rand
 	now     time.Time
 	workers map[id.Worker]*simWorker
@@ -56,16 +56,16 @@
 	simService  = "service"
 )
 
-var simConfig = roster.Config{HoldMax: 6 * time.Second, RemoteFactor: 3, Keep: time.Hour, Restore: 600 * time.Millisecond,
+var simConfig = planner.Config{HoldMax: 6 * time.Second, RemoteFactor: 3, Keep: time.Hour, Restore: 600 * time.Millisecond,
 	Reclaim: 2900 * time.Millisecond, StopTime: simStopTime}
 
 func newSim(t *testing.T, seed uint64, workers int) *sim {
 	t.Helper()
-	s := &sim{t: t, r: roster.New(simConfig), random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0),
+	s := &sim{t: t, r: planner.New(simConfig), random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0),
 		workers: make(map[id.Worker]*simWorker), jobs: make(map[id.Job]task.Job), started: make(map[id.Job]time.Time),
 		over: make(map[id.Job]time.Time), done: make(map[task.Name]bool), highest: make(map[task.Name]task.Run),
 		placed: make(map[task.Name]id.Worker), stopped: make(map[task.Priority]int), gangs: make(map[string]int)}
-	rules := roster.Rules{Queues: make(map[task.QueueName]task.Queue), Guaranteed: map[id.Account]unit.Accelerators{
+	rules := planner.Rules{Queues: make(map[task.QueueName]task.Queue), Guaranteed: map[id.Account]unit.Accelerators{
 		"a": unit.Accelerators(workers * 8 * 3 / 10), "b": unit.Accelerators(workers * 8 * 3 / 10)}}
 	for p := range 3 {
 		name := simQueue(p)
@@ -190,14 +190,14 @@
 func gangKey(r *simRun) string { return fmt.Sprintf("%s.%d.%d", r.name.Job, r.name.Step, r.run) }
 
 // order carries out an order and checks it.
-func (s *sim) order(o roster.Order) {
+func (s *sim) order(o planner.Order) {
 	w := s.workers[o.Worker]
-	if o.Kind == roster.Stop {
+	if o.Kind == planner.Stop {
 		s.stopped[priorityOf(s.jobs[o.Task.Job])]++
 		if run := w.runs[o.Task]; run != nil && run.run == o.Run {
 			run.ends, run.how = s.now.Add(simStopTime), task.Stopped
 		}
-		s.r.Answered(s.now, o, roster.Accepted)
+		s.r.Answered(s.now, o, planner.Accepted)
 		return
 	}
 	job := s.jobs[o.Task.Job]
@@ -211,7 +211,7 @@
 	if _, ok := s.started[job.ID]; !ok {
 		s.started[job.ID] = s.now
 	}
-	s.r.Answered(s.now, o, roster.Accepted)
+	s.r.Answered(s.now, o, planner.Accepted)
 	if !step.Gang {
 		run.ends = s.now.Add(run.work)
 		return
@@ -228,7 +228,7 @@
 	}
 }
 
-func (s *sim) check(w *simWorker, o roster.Order, job task.Job, step task.Step) {
+func (s *sim) check(w *simWorker, o planner.Order, job task.Job, step task.Step) {
 	used := step.Demand
 	same := 1
 	for name, run := range w.runs {
--- a/lib/roster/worker.go
+++ b/lib/planner/worker.go
@@ -1,4 +1,4 @@
-package roster
+package planner
 
 import (
 	"slices"
@@ -24,19 +24,19 @@
 	// barTime is how long a failing worker is out of placement before it is
 	// tried again.
 	barTime = 8 * time.Second
-	// stillTime is how long a run may show no progress before it is moved.
-	stillTime = 3500 * time.Millisecond
+	// stallTime is how long a run may show no progress before it is moved.
+	stallTime = 3500 * time.Millisecond
 )
 
 type worker struct {
 	task.Worker
-	listed  bool // the platform's list has the worker
-	members []*member
-	used    unit.Resources
-	lapse   time.Time // when the last lease granted has surely ended
-	met     bool      // it has answered this owner
-	barred  time.Time // no starts before this time
-	faults  []id.Job  // jobs that failed here since the last success
+	listed   bool // the platform's list has the worker
+	members  []*member
+	used     unit.Resources
+	lapse    time.Time // when the last lease granted has surely ended
+	reported bool      // it has answered this owner
+	barred   time.Time // no starts before this time
+	faults   []id.Job  // jobs that failed here since the last success
 }
 
 func (w *worker) add(m *member) {
@@ -63,7 +63,7 @@
 	return nil
 }
 
-func (r *Roster) worker(name id.Worker) *worker {
+func (r *Planner) worker(name id.Worker) *worker {
 	w, ok := r.workers[name]
 	if !ok {
 		w = &worker{Worker: task.Worker{ID: name}}
@@ -73,7 +73,7 @@
 }
 
 // Listed takes over what the platform's list says of a worker.
-func (r *Roster) Listed(now time.Time, info task.Worker) {
+func (r *Planner) Listed(now time.Time, info task.Worker) {
 	w := r.worker(info.ID)
 	if w.Incarnation != 0 && info.Incarnation < w.Incarnation {
 		return
@@ -92,7 +92,7 @@
 
 // Unlisted notes that the platform's list no longer has a worker. Its runs
 // count as present until its lease has run out.
-func (r *Roster) Unlisted(now time.Time, name id.Worker) {
+func (r *Planner) Unlisted(now time.Time, name id.Worker) {
 	w, ok := r.workers[name]
 	if !ok {
 		return
@@ -105,7 +105,7 @@
 }
 
 // reborn ends the runs of earlier incarnations of a worker.
-func (r *Roster) reborn(now time.Time, w *worker, born task.Incarnation) {
+func (r *Planner) reborn(now time.Time, w *worker, born task.Incarnation) {
 	if w.Incarnation != 0 && w.Incarnation != born {
 		w.Draining, w.faults, w.barred = false, nil, time.Time{}
 	}
@@ -119,7 +119,7 @@
 
 // drain moves runs that lose nothing by it off a worker that leaves: those that
 // can save their progress, and those that serve until they are cancelled.
-func (r *Roster) drain(now time.Time, w *worker) {
+func (r *Planner) drain(now time.Time, w *worker) {
 	for _, m := range slices.Clone(w.members) {
 		if s := m.group.spec(); (s.Checkpoints || s.Service) && !s.Gang {
 			r.stopGroup(now, m.group, "the worker leaves")
@@ -129,13 +129,13 @@
 
 // Heard takes over a worker's report on its runs. The report answers a call
 // that was sent at sent.
-func (r *Roster) Heard(now, sent time.Time, rep task.Report) {
+func (r *Planner) Heard(now, sent time.Time, rep task.Report) {
 	w := r.worker(rep.Worker)
 	if rep.Incarnation < w.Incarnation {
 		return
 	}
 	r.reborn(now, w, rep.Incarnation)
-	w.met = true
+	w.reported = true
 	if rep.Draining && !w.Draining {
 		w.Draining = true
 		r.note(Note{Event: "workerDraining", Worker: w.ID, Reason: "told by the worker", Age: rep.Remaining})
@@ -158,14 +158,14 @@
 
 // Granted notes that a call that was sent at sent may have extended the lease
 // of a worker.
-func (r *Roster) Granted(name id.Worker, sent time.Time) {
+func (r *Planner) Granted(name id.Worker, sent time.Time) {
 	w, ok := r.workers[name]
 	if lapse := r.config.Lapse(sent); ok && lapse.After(w.lapse) {
 		w.lapse = lapse
 	}
 }
 
-func (r *Roster) heardActive(now, sent time.Time, w *worker, a task.Active) {
+func (r *Planner) heardActive(now, sent time.Time, w *worker, a task.Active) {
 	m := w.find(a.Task, a.Run)
 	if m == nil {
 		r.orders = append(r.orders, Order{Kind: Stop, Worker: w.ID, Incarnation: w.Incarnation, Task: a.Task, Run: a.Run,
@@ -182,7 +182,7 @@
 	if a.Percent > m.percent || m.advanced.IsZero() {
 		m.percent, m.advanced = a.Percent, sent
 	}
-	if !m.stop && sent.Sub(m.advanced) > stillTime && a.Percent < 100 && !g.spec().Service {
+	if !m.stop && sent.Sub(m.advanced) > stallTime && a.Percent < 100 && !g.spec().Service {
 		w.barred = now.Add(barTime)
 		g.avoid = append(g.avoid, w.ID)
 		r.stopGroup(now, g, "the run makes no progress")
@@ -190,14 +190,14 @@
 }
 
 // begin notes that a task of a job has started.
-func (r *Roster) begin(j *job) {
+func (r *Planner) begin(j *job) {
 	if !j.begun {
 		j.begun = true
 		r.begun = append(r.begun, j.ID)
 	}
 }
 
-func (r *Roster) heardEnd(now time.Time, w *worker, e task.End) {
+func (r *Planner) heardEnd(now time.Time, w *worker, e task.End) {
 	m := w.find(e.Task, e.Run)
 	if m == nil {
 		r.lateEnd(now, e)
@@ -214,7 +214,7 @@
 }
 
 // lateEnd accepts the success of a run that was given up but not replaced.
-func (r *Roster) lateEnd(now time.Time, e task.End) {
+func (r *Planner) lateEnd(now time.Time, e task.End) {
 	j := r.jobs[e.Task.Job]
 	if j == nil || e.How != task.Done || j.state.Ended() {
 		return
@@ -232,7 +232,7 @@
 }
 
 // blame counts a failed run against its worker, once for each job.
-func (r *Roster) blame(now time.Time, w *worker, name id.Job) {
+func (r *Planner) blame(now time.Time, w *worker, name id.Job) {
 	if slices.Contains(w.faults, name) {
 		return
 	}
@@ -245,7 +245,7 @@
 }
 
 // memberEnded takes a member out of the run in progress of its group.
-func (r *Roster) memberEnded(now time.Time, m *member, how task.How, saved task.Checkpoint, reason string) {
+func (r *Planner) memberEnded(now time.Time, m *member, how task.How, saved task.Checkpoint, reason string) {
 	g, j := m.group, m.group.job
 	m.worker.drop(m)
 	if !m.worker.listed && len(m.worker.members) == 0 {
@@ -296,7 +296,7 @@
 )
 
 // Answered takes over the answer to an order.
-func (r *Roster) Answered(now time.Time, o Order, a Answer) {
+func (r *Planner) Answered(now time.Time, o Order, a Answer) {
 	w, ok := r.workers[o.Worker]
 	if !ok {
 		return
@@ -337,7 +337,7 @@
 
 // Tick opens occurrences that are due, gives up runs on workers whose lease
 // has surely ended, and removes jobs that ended long ago.
-func (r *Roster) Tick(now time.Time) {
+func (r *Planner) Tick(now time.Time) {
 	for _, j := range r.active {
 		r.openDue(now, j)
 	}
@@ -374,7 +374,7 @@
 // learnWeight is the weight of the newest run in an estimate.
 const learnWeight = 0.1
 
-func (r *Roster) learn(now time.Time, g *group, m *member) {
+func (r *Planner) learn(now time.Time, g *group, m *member) {
 	s := g.spec()
 	if s.Estimate <= 0 || g.saved != "" {
 		return
--- a/lib/gate/gate.go
+++ b/lib/relay/relay.go
@@ -1,6 +1,6 @@
-// Package gate passes the calls of clients on any node to the node that owns
+// Package relay passes the calls of clients on any node to the node that owns
 // the scheduler, and tells whether this node can serve them.
-package gate
+package relay
 
 import (
 	"context"
@@ -8,12 +8,12 @@
 	"sync/atomic"
 	"time"
 
+	"bronzewinch.dev/lib/controller"
 	"bronzewinch.dev/lib/dependency"
-	"bronzewinch.dev/lib/desk"
+	"bronzewinch.dev/lib/election"
 	"bronzewinch.dev/lib/id"
 	"bronzewinch.dev/lib/peer"
 	"bronzewinch.dev/lib/problem"
-	"bronzewinch.dev/lib/tenure"
 	"bronzewinch.dev/lib/timer"
 
 	"github.com/cockroachdb/errors"
@@ -47,40 +47,40 @@
 
 // HelloReply tells what the node that was asked knows.
 type HelloReply struct {
-	Serving bool         `cbor:"serving"`
-	Owner   tenure.Owner `cbor:"owner"`
+	Serving bool           `cbor:"serving"`
+	Owner   election.Owner `cbor:"owner"`
 	// Peers are addresses of nodes that were lately in touch.
 	Peers []string `cbor:"peers,omitempty"`
 }
 
 // Owners tells which node owns the scheduler.
 type Owners interface {
-	Owner() tenure.Owner
-	Told(tenure.Owner)
+	Owner() election.Owner
+	Told(election.Owner)
 	Check()
 }
 
-// Desk decides on calls where this node is the owner.
-type Desk interface {
-	Handle(ctx context.Context, req desk.Request) desk.Reply
+// Controller decides on calls where this node is the owner.
+type Controller interface {
+	Handle(ctx context.Context, req controller.Request) controller.Reply
 	Hello(from id.Node) bool
 }
 
-// Config configures a Gate.
+// Config configures a Relay.
 type Config struct {
 	Node    id.Node
 	Address string
 	// Seeds are addresses of nodes that may know the owner.
-	Seeds  []string
-	Owners Owners
-	Desk   Desk
-	Pool   *peer.Pool
-	Server *peer.Server
-	Timer  timer.Service
+	Seeds      []string
+	Owners     Owners
+	Controller Controller
+	Pool       *peer.Pool
+	Server     *peer.Server
+	Timer      timer.Service
 }
 
-// Gate passes calls on.
-type Gate struct {
+// Relay passes calls on.
+type Relay struct {
 	config Config
 	stop   context.CancelFunc
 	wg     sync.WaitGroup
@@ -91,20 +91,20 @@
 	mu    sync.Mutex
 	seeds []string
 	// contacted is the owner that contactCtx is about.
-	contacted  tenure.Owner
+	contacted  election.Owner
 	contactCtx context.Context
 	contactEnd context.CancelFunc
 	ready      time.Time            // when the owner last said that it serves
 	peers      map[string]time.Time // addresses of other nodes, and when they were last told of
 }
 
-// New returns a gate that answers other nodes and keeps in touch with the
+// New returns a relay that answers other nodes and keeps in touch with the
 // owner.
-func New(c Config) *Gate {
+func New(c Config) *Relay {
 	ctx, cancel := context.WithCancel(context.Background())
-	g := &Gate{config: c, stop: cancel, owner: dependency.New("owner", c.Timer), seeds: c.Seeds, peers: make(map[string]time.Time)}
-	peer.Handle(c.Server, callMethod, func(ctx context.Context, req desk.Request) (desk.Reply, error) {
-		return c.Desk.Handle(ctx, req), nil
+	g := &Relay{config: c, stop: cancel, owner: dependency.New("owner", c.Timer), seeds: c.Seeds, peers: make(map[string]time.Time)}
+	peer.Handle(c.Server, callMethod, func(ctx context.Context, req controller.Request) (controller.Reply, error) {
+		return c.Controller.Handle(ctx, req), nil
 	})
 	peer.Handle(c.Server, helloMethod, g.answerHello)
 	g.wg.Go(func() {
@@ -123,26 +123,26 @@
 }
 
 // Leave makes the node say that it is not ready, before it stops.
-func (g *Gate) Leave() { g.leaving.Store(true) }
+func (g *Relay) Leave() { g.leaving.Store(true) }
 
 // Leaving reports whether Leave was called.
-func (g *Gate) Leaving() bool { return g.leaving.Load() }
+func (g *Relay) Leaving() bool { return g.leaving.Load() }
 
 // Reseed replaces the addresses of nodes that may know the owner.
-func (g *Gate) Reseed(seeds []string) {
+func (g *Relay) Reseed(seeds []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.seeds = seeds
 }
 
 // Close ends the contact with other nodes.
-func (g *Gate) Close() {
+func (g *Relay) Close() {
 	g.stop()
 	g.wg.Wait()
 }
 
 // Ready reports whether calls to this node are likely to be served.
-func (g *Gate) Ready() bool {
+func (g *Relay) Ready() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return !g.leaving.Load() && g.config.Timer.Now().Sub(g.ready) < readyTime
@@ -151,14 +151,14 @@
 // Handle has a call decided on by the owner. Calls may be repeated, as a job
 // is known by its id: when the owner falls silent, a call that was sent to it
 // is sent to the next owner, and one that was not is refused at once.
-func (g *Gate) Handle(ctx context.Context, req desk.Request) desk.Reply {
+func (g *Relay) Handle(ctx context.Context, req controller.Request) controller.Reply {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	sent := false
 	for ctx.Err() == nil {
 		contact, owner := g.contact()
 		if owner.Node == g.config.Node {
-			reply := g.config.Desk.Handle(ctx, req)
+			reply := g.config.Controller.Handle(ctx, req)
 			if !sent || final(req.Verb, reply.Outcome) {
 				return reply
 			}
@@ -171,31 +171,31 @@
 		}
 		if !sent {
 			g.config.Owners.Check()
-			return desk.Reply{Outcome: desk.Refused, Detail: "the owner is out of reach; try again", RetryAfter: retryAfter}
+			return controller.Reply{Outcome: controller.Refused, Detail: "the owner is out of reach; try again", RetryAfter: retryAfter}
 		}
 		if timer.Sleep(ctx, g.config.Timer, retryPause) != nil {
 			break
 		}
 	}
-	return desk.Reply{Outcome: desk.Unknown, Detail: "send the call again with the same id; it may have been carried out"}
+	return controller.Reply{Outcome: controller.Unknown, Detail: "send the call again with the same id; it may have been carried out"}
 }
 
 // final reports whether the answer to a repeated call tells what became of it.
 // A job that is turned away at the second attempt may have been accepted at
 // the first: its key may have been revoked in between.
-func final(v desk.Verb, o desk.Outcome) bool {
-	return o == desk.OK || v != desk.Submit && o != desk.Refused
+func final(v controller.Verb, o controller.Outcome) bool {
+	return o == controller.OK || v != controller.Submit && o != controller.Refused
 }
 
 // retryPause is the pause before a call is sent to the next owner.
 const retryPause = 100 * time.Millisecond
 
 // relay sends a call to the owner, until contact ends.
-func (g *Gate) relay(ctx, contact context.Context, owner tenure.Owner, req desk.Request) (desk.Reply, error) {
+func (g *Relay) relay(ctx, contact context.Context, owner election.Owner, req controller.Request) (controller.Reply, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(contact, cancel)()
-	reply, err := peer.Call[desk.Request, desk.Reply](ctx, g.config.Pool, owner.Address, callMethod, req)
+	reply, err := peer.Call[controller.Request, controller.Reply](ctx, g.config.Pool, owner.Address, callMethod, req)
 	if err != nil {
 		klog.InfoS("call not answered by the owner", "event", "relay", "verb", req.Verb, "path", req.Path, "owner", owner.Node,
 			"fence", owner.Fence, "cause", err)
@@ -206,7 +206,7 @@
 
 // contact returns the owner, and a context that ends when the owner falls
 // silent. The context is nil when the owner is not known to answer.
-func (g *Gate) contact() (context.Context, tenure.Owner) {
+func (g *Relay) contact() (context.Context, election.Owner) {
 	owner := g.config.Owners.Owner()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -220,7 +220,7 @@
 }
 
 // renewContact begins a new contact. The lock is held.
-func (g *Gate) renewContact(owner tenure.Owner) {
+func (g *Relay) renewContact(owner election.Owner) {
 	if g.contactEnd != nil {
 		g.contactEnd()
 	}
@@ -229,7 +229,7 @@
 }
 
 // silent ends the contact with an owner that does not answer.
-func (g *Gate) silent(owner tenure.Owner) {
+func (g *Relay) silent(owner election.Owner) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if owner.Fence < g.contacted.Fence {
@@ -242,7 +242,7 @@
 }
 
 // answered begins a contact with an owner that answers again.
-func (g *Gate) answered(owner tenure.Owner) {
+func (g *Relay) answered(owner election.Owner) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.contactCtx == nil || g.contacted.Fence != owner.Fence {
@@ -250,18 +250,18 @@
 	}
 }
 
-func (g *Gate) answerHello(_ context.Context, h Hello) (HelloReply, error) {
+func (g *Relay) answerHello(_ context.Context, h Hello) (HelloReply, error) {
 	now := g.config.Timer.Now()
 	g.mu.Lock()
 	g.peers[h.Address] = now
 	g.mu.Unlock()
-	return HelloReply{Serving: g.config.Desk.Hello(h.Node), Owner: g.config.Owners.Owner(), Peers: g.known(now)}, nil
+	return HelloReply{Serving: g.config.Controller.Hello(h.Node), Owner: g.config.Owners.Owner(), Peers: g.known(now)}, nil
 }
 
 // peerTime is how long a node that is not heard of counts as a peer.
 const peerTime = 30 * time.Second
 
-func (g *Gate) known(now time.Time) []string {
+func (g *Relay) known(now time.Time) []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var all []string
@@ -278,10 +278,10 @@
 
 // greet keeps in touch with the owner. When the owner does not answer, other
 // nodes are asked who the owner is.
-func (g *Gate) greet(ctx context.Context) {
+func (g *Relay) greet(ctx context.Context) {
 	owner := g.config.Owners.Owner()
 	if owner.Node == g.config.Node {
-		if g.config.Desk.Hello("") {
+		if g.config.Controller.Hello("") {
 			g.served()
 		}
 		return
@@ -307,7 +307,7 @@
 	g.askOthers(ctx, owner)
 }
 
-func (g *Gate) askOthers(ctx context.Context, owner tenure.Owner) {
+func (g *Relay) askOthers(ctx context.Context, owner election.Owner) {
 	addresses := g.known(g.config.Timer.Now())
 	g.mu.Lock()
 	addresses = append(addresses, g.seeds...)
@@ -326,7 +326,7 @@
 	wg.Wait()
 }
 
-func (g *Gate) hello(ctx context.Context, address string) (HelloReply, error) {
+func (g *Relay) hello(ctx context.Context, address string) (HelloReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
 	r, err := peer.Call[Hello, HelloReply](ctx, g.config.Pool, address, helloMethod,
@@ -345,7 +345,7 @@
 	return r, nil
 }
 
-func (g *Gate) served() {
+func (g *Relay) served() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.ready = g.config.Timer.Now()
--- a/lib/gate/gate_test.go
+++ b/lib/relay/relay_test.go
@@ -1,4 +1,4 @@
-package gate_test
+package relay_test
 
 import (
 	"context"
@@ -7,12 +7,12 @@
 	"testing"
 	"time"
 
-	"bronzewinch.dev/lib/desk"
-	"bronzewinch.dev/lib/gate"
+	"bronzewinch.dev/lib/controller"
+	"bronzewinch.dev/lib/election"
 	"bronzewinch.dev/lib/id"
 	"bronzewinch.dev/lib/peer"
+	"bronzewinch.dev/lib/relay"
 	"bronzewinch.dev/lib/task"
-	"bronzewinch.dev/lib/tenure"
 	"bronzewinch.dev/lib/timer"
 
 	"github.com/matryer/is"
@@ -21,16 +21,16 @@
 // fakeOwners holds the owner that the test sets.
 type fakeOwners struct {
 	mu    sync.Mutex
-	owner tenure.Owner
+	owner election.Owner
 }
 
-func (o *fakeOwners) Owner() tenure.Owner {
+func (o *fakeOwners) Owner() election.Owner {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.owner
 }
 
-func (o *fakeOwners) Told(n tenure.Owner) {
+func (o *fakeOwners) Told(n election.Owner) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.owner = n
@@ -38,15 +38,15 @@
 
 func (o *fakeOwners) Check() {}
 
-// fakeDesk gives one answer to every call, after it has hung while hang is open.
-type fakeDesk struct {
-	outcome desk.Outcome
+// fakeController gives one answer to every call, after it has hung while hang is open.
+type fakeController struct {
+	outcome controller.Outcome
 	hang    chan struct{}
 	called  chan struct{}
 	greeted chan struct{}
 }
 
-func (d *fakeDesk) Handle(ctx context.Context, _ desk.Request) desk.Reply {
+func (d *fakeController) Handle(ctx context.Context, _ controller.Request) controller.Reply {
 	if d.called != nil {
 		d.called <- struct{}{}
 	}
@@ -56,10 +56,10 @@
 		case <-ctx.Done():
 		}
 	}
-	return desk.Reply{Outcome: d.outcome}
+	return controller.Reply{Outcome: d.outcome}
 }
 
-func (d *fakeDesk) Hello(id.Node) bool {
+func (d *fakeController) Hello(id.Node) bool {
 	if d.greeted != nil {
 		d.greeted <- struct{}{}
 	}
@@ -70,13 +70,13 @@
 }
 
 type node struct {
-	*gate.Gate
+	*relay.Relay
 	owners  *fakeOwners
 	address string
 	server  *peer.Server
 }
 
-func newNode(t *testing.T, name id.Node, d gate.Desk) *node {
+func newNode(t *testing.T, name id.Node, d relay.Controller) *node {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -84,7 +84,7 @@
 	}
 	n := &node{owners: &fakeOwners{}, address: listener.Addr().String(), server: peer.NewServer(peer.ServerConfig{})}
 	pool := peer.NewPool(peer.PoolConfig{})
-	n.Gate = gate.New(gate.Config{Node: name, Address: n.address, Owners: n.owners, Desk: d, Pool: pool, Server: n.server,
+	n.Relay = relay.New(relay.Config{Node: name, Address: n.address, Owners: n.owners, Controller: d, Pool: pool, Server: n.server,
 		Timer: timer.NewSystem()})
 	n.server.Serve(listener)
 	t.Cleanup(func() {
@@ -97,8 +97,8 @@
 	return n
 }
 
-func (n *node) owner(name id.Node, fence task.Fence) tenure.Owner {
-	return tenure.Owner{Node: name, Address: n.address, Fence: fence}
+func (n *node) owner(name id.Node, fence task.Fence) election.Owner {
+	return election.Owner{Node: name, Address: n.address, Fence: fence}
 }
 
 func awaitReady(t *testing.T, n *node) {
@@ -118,24 +118,24 @@
 func TestCallGoesToNextOwner(t *testing.T) {
 	for _, test := range []struct {
 		name string
-		verb desk.Verb
-		next desk.Outcome
-		want desk.Outcome
+		verb controller.Verb
+		next controller.Outcome
+		want controller.Outcome
 	}{
-		{"job accepted by the next owner", desk.Submit, desk.OK, desk.OK},
-		{"key revoked in between", desk.Submit, desk.Unauthorized, desk.Unknown},
-		{"cancel of a job that is gone", desk.Cancel, desk.NoJob, desk.NoJob},
+		{"job accepted by the next owner", controller.Submit, controller.OK, controller.OK},
+		{"key revoked in between", controller.Submit, controller.Unauthorized, controller.Unknown},
+		{"cancel of a job that is gone", controller.Cancel, controller.NoJob, controller.NoJob},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			silent := &fakeDesk{outcome: desk.OK, hang: make(chan struct{}), called: make(chan struct{}, 10)}
+			silent := &fakeController{outcome: controller.OK, hang: make(chan struct{}), called: make(chan struct{}, 10)}
 			old := newNode(t, "old", silent)
-			next := newNode(t, "next", &fakeDesk{outcome: test.next})
-			front := newNode(t, "front", &fakeDesk{})
+			next := newNode(t, "next", &fakeController{outcome: test.next})
+			front := newNode(t, "front", &fakeController{})
 			t.Cleanup(func() { close(silent.hang) })
 			front.owners.Told(old.owner("old", 1))
-			done := make(chan desk.Reply, 1)
-			go func() { done <- front.Handle(context.Background(), desk.Request{Verb: test.verb}) }()
+			done := make(chan controller.Reply, 1)
+			go func() { done <- front.Handle(context.Background(), controller.Request{Verb: test.verb}) }()
 			<-silent.called
 			front.owners.Told(next.owner("next", 2))
 			is.Equal((<-done).Outcome, test.want)
@@ -147,16 +147,16 @@
 // that is known not to answer.
 func TestSilentOwnerRefusesAtOnce(t *testing.T) {
 	is := is.New(t)
-	silent := &fakeDesk{hang: make(chan struct{}), greeted: make(chan struct{}, 100)}
+	silent := &fakeController{hang: make(chan struct{}), greeted: make(chan struct{}, 100)}
 	old := newNode(t, "old", silent)
 	t.Cleanup(func() { close(silent.hang) })
-	front := newNode(t, "front", &fakeDesk{})
+	front := newNode(t, "front", &fakeController{})
 	front.owners.Told(old.owner("old", 1))
 	<-silent.greeted
 	<-silent.greeted // the second greeting follows when the first has gone unanswered
 	begun := time.Now()
-	reply := front.Handle(context.Background(), desk.Request{Verb: desk.Submit})
-	is.Equal(reply.Outcome, desk.Refused)
+	reply := front.Handle(context.Background(), controller.Request{Verb: controller.Submit})
+	is.Equal(reply.Outcome, controller.Refused)
 	is.True(reply.RetryAfter > 0)
 	is.True(time.Since(begun) < 100*time.Millisecond)
 	is.True(!front.Ready())
@@ -166,8 +166,8 @@
 // and one that is not ready though the owner serves.
 func TestReadyFollowsOwner(t *testing.T) {
 	is := is.New(t)
-	owner := newNode(t, "owner", &fakeDesk{outcome: desk.OK})
-	front := newNode(t, "front", &fakeDesk{})
+	owner := newNode(t, "owner", &fakeController{outcome: controller.OK})
+	front := newNode(t, "front", &fakeController{})
 	front.owners.Told(owner.owner("owner", 1))
 	awaitReady(t, front)
 	front.Leave()
@@ -177,10 +177,10 @@
 // TestOwnerIsLearntFromPeers guards against a node that the store turns away
 // and that never learns of a new owner.
 func TestOwnerIsLearntFromPeers(t *testing.T) {
-	owner := newNode(t, "owner", &fakeDesk{outcome: desk.OK})
-	knowing := newNode(t, "knowing", &fakeDesk{})
+	owner := newNode(t, "owner", &fakeController{outcome: controller.OK})
+	knowing := newNode(t, "knowing", &fakeController{})
 	knowing.owners.Told(owner.owner("owner", 5))
-	front := newNode(t, "front", &fakeDesk{})
+	front := newNode(t, "front", &fakeController{})
 	front.Reseed([]string{knowing.address})
 	awaitReady(t, front)
 	is.New(t).Equal(front.owners.Owner().Node, id.Node("owner"))
--- a/spec/run.pml
+++ b/spec/run.pml
@@ -55,7 +55,7 @@
 
 byte terms = 0; byte lapses = 0; byte losses = 0;
 
-/* lib/desk commitOne and resolve: the condition is the commit key's version. */
+/* lib/controller commitOne and resolve: the condition is the commit key's version. */
 inline txn(f, n, place, current, isDone, ok) {
 	ok = (storeFence == f && storeNumber == n);
 #ifdef NO_CONDITION
@@ -102,7 +102,7 @@
 	bool inherited = false; byte myFence; byte number; byte place; byte current; bool isDone; bool ok;
 	bool answered = false; byte grantPeriod; byte w; byte seen;
 	do
-	:: atomic { terms < TERMS && !mine -> /* tenure.win, then session.load */
+	:: atomic { terms < TERMS && !mine -> /* election.win, then session.load */
 			terms++; storeFence++; storeNumber = 0; myFence = storeFence; number = 0; mine = true
 		};
 		atomic {
