Learn run times by their geometric mean

Cause: submitters' estimates are off by factors (lot-survey ran 3.7 times its estimate on average, by a few very long ones), so a plain mean put deadlines too late, and it took some twenty runs to converge from one.

--- a/lib/planner/plan.go
+++ b/lib/planner/plan.go
@@ -153,7 +153,7 @@
 // expected is the expected run time of a task.
 func (r *Planner) expected(j *job, s task.Step) time.Duration {
 	if e := r.runTime[j.Queue]; e != nil {
-		return time.Duration(e.ratio * float64(s.Estimate))
+		return e.time(s.Estimate)
 	}
 	return s.Estimate
 }
--- a/lib/planner/worker.go
+++ b/lib/planner/worker.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -364,27 +365,33 @@
 	}
 }
 
-// estimate is a moving average of the time that runs of a queue take against
-// the submitters' estimates.
+// estimate is the moving geometric mean of the time that runs of a queue take
+// against the submitters' estimates. Estimates are off by factors, so a plain
+// mean would follow the few that are far too low.
 type estimate struct {
-	ratio float64
-	runs  int
+	logRatio float64
+	runs     int
 }
 
-// learnWeight is the weight of the newest run in an estimate.
+// learnWeight is the least weight of the newest run in an estimate.
 const learnWeight = 0.1
 
+// time returns the expected time of a run.
+func (e *estimate) time(submitted time.Duration) time.Duration {
+	return time.Duration(math.Exp(e.logRatio) * float64(submitted))
+}
+
 func (r *Planner) learn(now time.Time, g *group, m *member) {
 	s := g.spec()
-	if s.Estimate <= 0 || g.saved != "" {
+	if s.Estimate <= 0 || g.saved != "" || !now.After(m.ordered) {
 		return
 	}
 	e := r.runTime[g.job.Queue]
 	if e == nil {
-		e = &estimate{ratio: 1}
+		e = &estimate{}
 		r.runTime[g.job.Queue] = e
 	}
 	ratio := float64(now.Sub(m.ordered)) / float64(s.Estimate)
-	e.ratio += learnWeight * (ratio - e.ratio)
 	e.runs++
+	e.logRatio += max(learnWeight, 1/float64(e.runs+1)) * (math.Log(ratio) - e.logRatio)
 }
