Store the queue with a job

Cause: a new owner gave a job whose queue had left the configuration one attempt and no service, so one failed run failed it.

Change: a job is stored with its queue as it was at acceptance.

--- a/lib/planner/job.go
+++ b/lib/planner/job.go
@@ -93,7 +93,7 @@
 	if q.Priority == 0 {
 		r.urgent = now
 	}
-	t.Accepted = now
+	t.Accepted, t.Admitted = now, q
 	j := &job{Job: t, queue: q}
 	r.jobs[t.ID] = j
 	r.active = append(r.active, j)
@@ -264,7 +264,7 @@
 func (r *Planner) Restore(now, lapse time.Time, t task.Job, p task.Progress) {
 	q, ok := r.rules.Queues[t.Queue]
 	if !ok {
-		q = task.Queue{Name: t.Queue, Attempts: 1}
+		q = t.Admitted
 	}
 	j := &job{Job: t, queue: q, state: p.State, ended: p.Ended}
 	r.jobs[t.ID] = j
--- a/lib/planner/planner_test.go
+++ b/lib/planner/planner_test.go
@@ -314,3 +314,22 @@
 	s.r.Plan(s.now)
 	is.Equal(count(s.r.Take().Orders, planner.Start), 3)
 }
+
+// TestRestoreWithoutQueue guards against a job that fails or stops because its
+// queue has left the configuration before a change of owner.
+func TestRestoreWithoutQueue(t *testing.T) {
+	is := is.New(t)
+	j := single(1, task.Step{Tasks: 1})
+	j.Queue = simQueue(1)
+	j.Admitted = task.Queue{Name: j.Queue, Service: simService, Priority: 1, Attempts: 4}
+	s := newSim(t, 1, 1)
+	s.r.Configure(planner.Rules{})
+	s.r.Restore(s.now, s.now, j, task.Progress{Job: j.ID, Occurrences: []task.OccurrenceProgress{{Groups: []task.GroupProgress{{Run: 1, Failures: 1}}}}})
+	s.r.Resume(s.now)
+	s.r.Plan(s.now)
+	orders := s.r.Take().Orders
+	is.Equal(len(orders), 1)
+	ended(s, orders[0], task.Faulted)
+	status, _ := s.r.Status(j.ID)
+	is.Equal(status.State, task.Running)
+}
--- a/lib/task/task.go
+++ b/lib/task/task.go
@@ -117,6 +117,9 @@
 	First       time.Time
 	Interval    time.Duration
 	Accepted    time.Time
+	// Admitted is the queue as it was when the job was accepted. It stands in
+	// for a queue that the configuration no longer has.
+	Admitted Queue
 }
 
 // Check reports the first mistake of a submitted job.
