Pass over reports of an earlier life of a worker

Cause: a report that was on its way when the list named the worker's next life set the link back to the earlier one until the next report; orders in between were not sent.

Change: such a report is dropped.

--- a/lib/controller/link.go
+++ b/lib/controller/link.go
@@ -252,6 +252,10 @@
 		return false
 	}
 	l.mu.Lock()
+	if report.Incarnation < l.target.Incarnation {
+		l.mu.Unlock()
+		return true // the platform's list already has the next life of the worker
+	}
 	if report.Incarnation != l.target.Incarnation {
 		l.reset()
 		l.target.Incarnation = report.Incarnation
--- a/lib/planner/plan.go
+++ b/lib/planner/plan.go
@@ -55,8 +55,8 @@
 	}
 }
 
-// firstReportTime bounds the time for which a new owner waits for the first reports of
-// all workers. They answer within milliseconds.
+// firstReportTime bounds the time for which a new owner waits for the first
+// reports of all workers. They answer within milliseconds.
 const firstReportTime = 400 * time.Millisecond
 
 // awaits reports whether workers still have to answer a new owner for the
