--- a/lib/controller/link.go
+++ b/lib/controller/link.go
@@ -110,13 +110,16 @@
 	if w.Incarnation < l.target.Incarnation {
 		return
 	}
+	anew := w.Incarnation != l.target.Incarnation || !l.unlisted.IsZero()
 	if w.Incarnation != l.target.Incarnation {
 		l.reset()
 	}
 	l.target = Target{Worker: w.ID, Address: w.Address, Incarnation: w.Incarnation}
 	l.unlisted = time.Time{}
-	l.busy = true // the planner waits for a report of a worker that is listed anew
-	l.signal()
+	if anew {
+		l.busy = true // the planner waits for a report of the worker
+		l.signal()
+	}
 }
 
 // drop notes that the platform's list no longer has the worker.
