Keep the wait for a first report apart from a worker's runs

The flag for a worker that is listed anew was the one for its runs, and the end of the same cycle, which stores an older report, cleared it.

Change: a flag of its own, which only a report clears.

--- a/lib/controller/link.go
+++ b/lib/controller/link.go
@@ -76,8 +76,9 @@
 	target   Target
 	clock    task.ClockMillis // the worker's clock at clockAt, at least
 	clockAt  time.Time
-	trusted  bool // the last call was answered
-	busy     bool
+	trusted  bool        // the last call was answered
+	busy     bool        // runs on the worker are not known to have ended
+	unheard  bool        // the planner waits for a first report
 	grant    time.Time   // when the last call that extends the lease was sent
 	acked    task.EndSeq // stored by a cycle
 	told     task.EndSeq // acknowledged to the worker
@@ -87,7 +88,7 @@
 
 func newLink(ctx context.Context, s *session, w task.Worker) *link {
 	l := &link{session: s, name: w.ID, orders: pipe.NewQueue[planner.Order](orderLimit), wake: make(chan struct{}, 1),
-		contact: dependency.New("worker "+string(w.ID), s.controller.config.Timer)}
+		contact: dependency.New("worker "+string(w.ID), s.controller.config.Timer), unheard: true}
 	l.target = Target{Worker: w.ID, Address: w.Address, Incarnation: w.Incarnation}
 	ctx, l.stop = context.WithCancel(ctx)
 	s.wg.Go(func() { l.poll(ctx) })
@@ -117,7 +118,7 @@
 	l.target = Target{Worker: w.ID, Address: w.Address, Incarnation: w.Incarnation}
 	l.unlisted = time.Time{}
 	if anew {
-		l.busy = true // the planner waits for a report of the worker
+		l.unheard = true
 		l.signal()
 	}
 }
@@ -192,10 +193,9 @@
 // poll asks for reports as long as the worker is busy or has ends that are
 // not acknowledged.
 func (l *link) poll(ctx context.Context) {
-	first := true
 	for ctx.Err() == nil {
 		l.mu.Lock()
-		pending, busy := l.acked > l.told, l.busy || first
+		pending, unheard, busy := l.acked > l.told, l.unheard, l.busy || l.unheard
 		l.mu.Unlock()
 		if !busy && pending {
 			l.pause(ctx, ackPause)
@@ -210,8 +210,7 @@
 			}
 			continue
 		}
-		if l.ask(ctx, first || !busy) {
-			first = false
+		if l.ask(ctx, unheard || !busy) {
 			l.pause(ctx, holdWait) // until the cycle has stored the report
 			continue
 		}
@@ -264,7 +263,7 @@
 		l.target.Incarnation = report.Incarnation
 	}
 	l.clock, l.clockAt, l.told = report.Clock, clock.Now(), h.Acked
-	l.trusted = true
+	l.trusted, l.unheard = true, false
 	l.contact.Observe(nil)
 	e := &reportEvent{link: l, sent: now, report: report}
 	l.reported = max(l.reported, e.lastEnd())
