Bound the greetings between nodes

Every greeting was answered with the addresses of all nodes, and when the owner did not answer, every node asked every other.

Change: a reply names eight nodes, three are asked for the owner, and above forty nodes each greets less often.

--- a/lib/relay/relay.go
+++ b/lib/relay/relay.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,8 +26,19 @@
 	// owner is out of reach.
 	helloPeriod  = 400 * time.Millisecond
 	helloTimeout = 350 * time.Millisecond
-	// readyTime is how long one answer of the owner keeps this node ready.
-	readyTime = 1200 * time.Millisecond
+	// helloShare is the time between two greetings that the owner answers: with
+	// more than forty nodes each greets less often.
+	helloShare = 10 * time.Millisecond
+	// helloMost bounds the period at which a node greets.
+	helloMost = 2 * time.Second
+	// readyPeriods is how many periods one answer of the owner keeps this node
+	// ready.
+	readyPeriods = 3
+	// replyPeers and askedPeers bound the nodes that a reply names and that are
+	// asked for the owner, so that traffic doesn't grow with the square of the
+	// nodes.
+	replyPeers = 8
+	askedPeers = 3
 	// callTimeout bounds a call to the owner. Clients wait three seconds.
 	callTimeout = 2500 * time.Millisecond
 	// retryAfter is the time in which a new owner usually is at work.
@@ -49,8 +61,10 @@
 type HelloReply struct {
 	Serving bool           `cbor:"serving"`
 	Owner   election.Owner `cbor:"owner"`
-	// Peers are addresses of nodes that were lately in touch.
+	// Peers are addresses of some nodes that were lately in touch.
 	Peers []string `cbor:"peers,omitempty"`
+	// Period is how often the owner wants to be greeted.
+	Period time.Duration `cbor:"period,omitempty"`
 }
 
 // Owners tells which node owns the scheduler.
@@ -88,8 +102,9 @@
 	owner   *dependency.Dependency
 	leaving atomic.Bool
 
-	mu    sync.Mutex
-	seeds []string
+	mu     sync.Mutex
+	seeds  []string
+	period time.Duration // how often the owner wants to be greeted
 	// contacted is the owner that contactCtx is about.
 	contacted  election.Owner
 	contactCtx context.Context
@@ -102,21 +117,16 @@
 // owner.
 func New(c Config) *Relay {
 	ctx, cancel := context.WithCancel(context.Background())
-	g := &Relay{config: c, stop: cancel, owner: dependency.New("owner", c.Timer), seeds: c.Seeds, peers: make(map[string]time.Time)}
+	g := &Relay{config: c, stop: cancel, owner: dependency.New("owner", c.Timer), seeds: c.Seeds, period: helloPeriod, peers: make(map[string]time.Time)}
 	peer.Handle(c.Server, callMethod, func(ctx context.Context, req controller.Request) (controller.Reply, error) {
 		return c.Controller.Handle(ctx, req), nil
 	})
 	peer.Handle(c.Server, helloMethod, g.answerHello)
 	g.wg.Go(func() {
-		ticks := c.Timer.Every(helloPeriod)
-		defer ticks.Stop()
-		for {
+		for ctx.Err() == nil {
+			begun := c.Timer.Now()
 			g.greet(ctx)
-			select {
-			case <-ticks.C:
-			case <-ctx.Done():
-				return
-			}
+			_ = timer.Sleep(ctx, c.Timer, max(helloPeriod/4, g.greetPeriod()-c.Timer.Now().Sub(begun)))
 		}
 	})
 	return g
@@ -145,7 +155,14 @@
 func (g *Relay) Ready() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return !g.leaving.Load() && g.config.Timer.Now().Sub(g.ready) < readyTime
+	return !g.leaving.Load() && g.config.Timer.Now().Sub(g.ready) < readyPeriods*g.period
+}
+
+// greetPeriod is how often the owner is greeted.
+func (g *Relay) greetPeriod() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.period
 }
 
 // Handle has a call decided on by the owner. Calls may be repeated, as a job
@@ -254,14 +271,17 @@
 	now := g.config.Timer.Now()
 	g.mu.Lock()
 	g.peers[h.Address] = now
+	period := min(helloMost, max(helloPeriod, helloShare*time.Duration(len(g.peers))))
 	g.mu.Unlock()
-	return HelloReply{Serving: g.config.Controller.Hello(h.Node), Owner: g.config.Owners.Owner(), Peers: g.known(now)}, nil
+	return HelloReply{Serving: g.config.Controller.Hello(h.Node), Owner: g.config.Owners.Owner(), Peers: g.known(now, replyPeers),
+		Period: period}, nil
 }
 
 // peerTime is how long a node that is not heard of counts as a peer.
 const peerTime = 30 * time.Second
 
-func (g *Relay) known(now time.Time) []string {
+// known returns up to most nodes that were lately in touch, chosen at random.
+func (g *Relay) known(now time.Time, most int) []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var all []string
@@ -273,7 +293,8 @@
 		}
 		all = append(all, a)
 	}
-	return all
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(most, len(all))]
 }
 
 // greet keeps in touch with the owner. When the owner does not answer, other
@@ -290,6 +311,7 @@
 		if r, err := g.hello(ctx, owner.Address); err == nil {
 			g.answered(owner)
 			g.owner.Observe(nil)
+			g.setPeriod(r.Period)
 			if r.Serving {
 				g.served()
 			}
@@ -308,7 +330,7 @@
 }
 
 func (g *Relay) askOthers(ctx context.Context, owner election.Owner) {
-	addresses := g.known(g.config.Timer.Now())
+	addresses := g.known(g.config.Timer.Now(), askedPeers)
 	g.mu.Lock()
 	addresses = append(addresses, g.seeds...)
 	g.mu.Unlock()
@@ -345,6 +367,12 @@
 	return r, nil
 }
 
+func (g *Relay) setPeriod(p time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.period = max(helloPeriod, p)
+}
+
 func (g *Relay) served() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/lib/relay/relay_test.go
+++ b/lib/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"testing"
@@ -185,3 +186,21 @@
 	awaitReady(t, front)
 	is.New(t).Equal(front.owners.Owner().Node, id.Node("owner"))
 }
+
+// TestGreetingsAreBounded guards against traffic between nodes that grows with
+// the square of their number.
+func TestGreetingsAreBounded(t *testing.T) {
+	is := is.New(t)
+	owner := newNode(t, "owner", &fakeController{})
+	pool := peer.NewPool(peer.PoolConfig{})
+	defer pool.Close()
+	var last relay.HelloReply
+	for n := range 100 {
+		var err error
+		last, err = peer.Call[relay.Hello, relay.HelloReply](t.Context(), pool, owner.address, "hello",
+			relay.Hello{Node: id.Node(fmt.Sprint("n", n)), Address: fmt.Sprint("127.0.0.1:", n+1)})
+		is.NoErr(err)
+	}
+	is.Equal(len(last.Peers), 8)
+	is.Equal(last.Period, time.Second)
+}
