Settle runs by accepted orders alone

A refused second attempt, or a refused stop, had counted as proof that the run would not come. Ruled out: a lapse, as run 4 began 4.2 s after run 3 was ordered, and another owner, as one node started all runs.

Change: a refusal does not outweigh an earlier attempt without an answer; only an accepted stop settles a run; runs given up in doubt are stopped until the worker accepts it.

Tests: TestRefusalAfterNoAnswer and TestStartThatMayComeLate fail on the earlier code.

--- a/lib/controller/controller_test.go
+++ b/lib/controller/controller_test.go
@@ -8,6 +8,7 @@
 	"bronzewinch.dev/lib/controller"
 	"bronzewinch.dev/lib/election"
 	"bronzewinch.dev/lib/id"
+	"bronzewinch.dev/lib/planner"
 	"bronzewinch.dev/lib/task"
 
 	"github.com/matryer/is"
@@ -178,3 +179,18 @@
 	is.Equal(d.submit(jobB).Outcome, controller.OK)
 	d.workers.await(t, "the second start", func() bool { return len(d.workers.started) == 2 })
 }
+
+// TestRefusalAfterNoAnswer guards against a start that counts as refused though
+// an earlier attempt may still be carried out: it has to be stopped first.
+func TestRefusalAfterNoAnswer(t *testing.T) {
+	is := is.New(t)
+	workers := newFakeWorkers()
+	workers.script = []planner.Answer{planner.Unanswered, planner.Full}
+	d := serve(t, newFakeStore(), workers)
+	is.Equal(d.submit(jobA).Outcome, controller.OK)
+	workers.await(t, "the second run", func() bool { return len(workers.started) == 1 })
+	workers.mu.Lock()
+	defer workers.mu.Unlock()
+	is.Equal(workers.started[0].Run, task.Run(2))
+	is.Equal(workers.stopped, 1)
+}
--- a/lib/controller/fake_test.go
+++ b/lib/controller/fake_test.go
@@ -177,6 +177,9 @@
 	acked   task.EndSeq
 	told    map[task.EndSeq]bool // ends that a report has told of
 	started []planner.Order
+	stopped int
+	// script holds what becomes of the next starts: no answer, or a refusal.
+	script []planner.Answer
 }
 
 func newFakeWorkers() *fakeWorkers {
@@ -241,6 +244,17 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	defer w.notify()
+	if o.Kind == planner.Start && len(w.script) > 0 {
+		next := w.script[0]
+		w.script = w.script[1:]
+		if next == planner.Unanswered {
+			return "", problem.New(problem.Unknown, problem.Detail{Field: "worker", Remedy: "repeat"})
+		}
+		return next, nil
+	}
+	if o.Kind == planner.Stop {
+		w.stopped++
+	}
 	if o.Kind == planner.Start {
 		w.started = append(w.started, o)
 		w.runs[t.Worker] = append(w.runs[t.Worker], task.Active{Task: o.Task, Run: o.Run})
--- a/lib/controller/link.go
+++ b/lib/controller/link.go
@@ -333,7 +333,10 @@
 		a, err := l.session.controller.config.Workers.Order(call, target, o, l.session.term.Fence, until)
 		cancel()
 		if err == nil {
-			answer = a
+			// A refusal does not tell what became of an attempt without an answer.
+			if answer != planner.Unanswered || a == planner.Accepted {
+				answer = a
+			}
 			break
 		}
 		if ctx.Err() != nil {
--- a/lib/planner/planner_test.go
+++ b/lib/planner/planner_test.go
@@ -333,3 +333,37 @@
 	status, _ := s.r.Status(j.ID)
 	is.Equal(status.State, task.Running)
 }
+
+// TestStartThatMayComeLate guards against a task that starts elsewhere while a
+// start without an answer may still be carried out: a refused stop proves
+// nothing, and neither does a lease that has ended.
+func TestStartThatMayComeLate(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, 2)
+	first := place(s, single(1, task.Step{Tasks: 1}), 1)[0]
+	s.r.Answered(s.now, first, planner.Unanswered)
+	stop := s.r.Take().Orders[0]
+	is.Equal(stop.Kind, planner.Stop)
+	s.r.Answered(s.now, stop, planner.Refused)
+	s.now = s.now.Add(time.Second)
+	s.r.Granted(first.Worker, s.now)
+	s.r.Heard(s.now, s.now, task.Report{Worker: first.Worker, Incarnation: 1})
+	s.r.Plan(s.now)
+	is.Equal(count(s.r.Take().Orders, planner.Start), 0)
+	// The worker does not answer until its lease has ended.
+	s.now = s.now.Add(time.Minute)
+	s.r.Tick(s.now)
+	s.r.Plan(s.now)
+	orders := s.r.Take().Orders
+	is.Equal(count(orders, planner.Start), 1)
+	is.Equal(count(orders, planner.Stop), 1) // of the first run, as long as the stop has no answer
+	for _, o := range orders {
+		if o.Kind == planner.Stop {
+			is.Equal(o.Run, task.Run(1))
+			s.r.Answered(s.now, o, planner.Accepted)
+		}
+	}
+	s.now = s.now.Add(2 * time.Second)
+	s.r.Tick(s.now)
+	is.Equal(count(s.r.Take().Orders, planner.Stop), 0)
+}
--- a/lib/planner/worker.go
+++ b/lib/planner/worker.go
@@ -38,6 +38,14 @@
 	reported bool      // it has answered this owner
 	barred   time.Time // no starts before this time
 	faults   []id.Job  // jobs that failed here since the last success
+	// doubts are runs that were given up with an order about them unanswered.
+	// The worker may still start them once it has a lease again.
+	doubts map[task.Name]doubt
+}
+
+type doubt struct {
+	run     task.Run
+	stopped time.Time // when the last order to stop was issued
 }
 
 func (w *worker) add(m *member) {
@@ -108,7 +116,7 @@
 // reborn ends the runs of earlier incarnations of a worker.
 func (r *Planner) reborn(now time.Time, w *worker, born task.Incarnation) {
 	if w.Incarnation != 0 && w.Incarnation != born {
-		w.Draining, w.faults, w.barred = false, nil, time.Time{}
+		w.Draining, w.faults, w.barred, w.doubts = false, nil, time.Time{}, nil
 	}
 	w.Incarnation = born
 	for _, m := range slices.Clone(w.members) {
@@ -302,12 +310,15 @@
 	if !ok {
 		return
 	}
+	if o.Kind == Stop && a == Accepted && w.doubts[o.Task].run == o.Run {
+		delete(w.doubts, o.Task)
+	}
 	m := w.find(o.Task, o.Run)
 	if m == nil || m.incarnation != o.Incarnation {
 		return
 	}
 	if o.Kind == Stop {
-		if a != NotSent && a != Unanswered {
+		if a == Accepted { // only then is a start that is carried out late refused
 			m.settled = now
 		}
 		return
@@ -345,6 +356,9 @@
 	for _, w := range r.workers {
 		if len(w.members) > 0 && now.After(w.lapse) {
 			for _, m := range slices.Clone(w.members) {
+				if m.settled.IsZero() {
+					w.doubtful(m)
+				}
 				r.memberEnded(now, m, task.Lapsed, "", "the worker did not answer until its lease ended")
 			}
 		}
@@ -356,6 +370,7 @@
 				r.order(now, Stop, m)
 			}
 		}
+		r.stopDoubts(now, w)
 	}
 	for name, j := range r.jobs {
 		if j.state.Ended() && now.Sub(j.ended) > r.config.Keep {
@@ -365,6 +380,24 @@
 	}
 }
 
+// doubtful notes that a run may still be started late.
+func (w *worker) doubtful(m *member) {
+	if w.doubts == nil {
+		w.doubts = make(map[task.Name]doubt)
+	}
+	w.doubts[m.name()] = doubt{run: m.group.run}
+}
+
+// stopDoubts orders runs to stop that were given up and may still be started.
+func (r *Planner) stopDoubts(now time.Time, w *worker) {
+	for name, d := range w.doubts {
+		if now.Sub(d.stopped) > restopTime {
+			w.doubts[name] = doubt{d.run, now}
+			r.orders = append(r.orders, Order{Kind: Stop, Worker: w.ID, Incarnation: w.Incarnation, Task: name, Run: d.run, Issued: now})
+		}
+	}
+}
+
 // estimate is the moving geometric mean of the time that runs of a queue take
 // against the submitters' estimates. Estimates are off by factors, so a plain
 // mean would follow the few that are far too low.
