Leave a campaign to nodes with more processor time first

Change: a node waits 100 ms for each time that its cores fall short of 0.8 before it campaigns, and looks again.

On sites with 0.4 cores everywhere a takeover takes 0.1 s longer.

--- a/bronzewinchd/platform.go
+++ b/bronzewinchd/platform.go
@@ -112,7 +112,8 @@
 }
 
 func newElection(s platform.Settings, store *platform.Store, d *controller.Controller, clock timer.Service) *election.Election {
-	return election.New(election.Config{Node: s.Node, Address: s.Peers, Store: store, Holder: d, Timer: clock})
+	return election.New(election.Config{Node: s.Node, Address: s.Peers, Store: store, Holder: d, Timer: clock,
+		Cores: s.Cores})
 }
 
 func newRelay(s platform.Settings, t *election.Election, d *controller.Controller, pool *peer.Pool, server *peer.Server,
--- a/lib/election/election.go
+++ b/lib/election/election.go
@@ -45,6 +45,10 @@
 	// for it before it gives up runs on workers that it can't reach.
 	GraceTime = 12 * time.Second
 	retryWait = 150 * time.Millisecond
+	// ampleCores is enough for the owner of the users' deployments. A node with
+	// half of it leaves campaignDelay to better ones before it campaigns.
+	ampleCores    = 0.8
+	campaignDelay = 100 * time.Millisecond
 	// retryMost bounds the pause between calls to a service that does not answer.
 	retryMost = time.Second
 	// restTime is how long a node that gave up ownership leaves it to others.
@@ -123,6 +127,8 @@
 	Store   Store
 	Holder  Holder
 	Timer   timer.Service
+	// Cores is the processor time of this node. Zero counts as enough.
+	Cores float64
 }
 
 // Election follows the owner key, and campaigns when there is no owner.
@@ -202,6 +208,12 @@
 			_ = timer.Sleep(ctx, t.config.Timer, pause)
 			pause = min(2*pause, retryMost)
 		case !found && !t.resting():
+			if delay := t.delay(); delay > 0 {
+				_ = timer.Sleep(ctx, t.config.Timer, delay)
+				if _, found, err := t.read(ctx); found || err != nil {
+					continue
+				}
+			}
 			if err := t.campaign(ctx); err != nil && ctx.Err() == nil {
 				klog.InfoS("ownership not won", "event", "campaign", "node", t.config.Node, "cause", err)
 				_ = timer.Sleep(ctx, t.config.Timer, timer.Jitter(retryWait))
@@ -214,6 +226,15 @@
 	}
 }
 
+// delay is the time for which this node leaves a campaign to nodes with more
+// processor time.
+func (t *Election) delay() time.Duration {
+	if t.config.Cores <= 0 || t.config.Cores >= ampleCores {
+		return 0
+	}
+	return time.Duration((ampleCores/t.config.Cores - 1) * float64(campaignDelay))
+}
+
 func (t *Election) resting() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/lib/election/election_test.go
+++ b/lib/election/election_test.go
@@ -209,11 +209,16 @@
 }
 
 func newCandidate(t *testing.T, m *memory, name id.Node, deaf bool) *candidate {
+	t.Helper()
+	return newCandidateWith(t, m, name, deaf, 0)
+}
+
+func newCandidateWith(t *testing.T, m *memory, name id.Node, deaf bool, cores float64) *candidate {
 	t.Helper()
 	h := &holder{terms: make(chan *election.Term, 10)}
 	v := &view{memory: m, deaf: deaf}
 	c := &candidate{view: v, terms: h.terms, Election: election.New(election.Config{Node: name, Address: string(name) + ":1", Store: v,
-		Holder: h, Timer: timer.NewSystem()})}
+		Holder: h, Timer: timer.NewSystem(), Cores: cores})}
 	t.Cleanup(c.Close)
 	return c
 }
@@ -305,3 +310,15 @@
 	b.Told(election.Owner{Node: "c", Fence: 9})
 	is.Equal(b.Owner().Node, id.Node("c"))
 }
+
+// TestStrongNodeWins guards against an owner with too little processor time
+// where a better node lives.
+func TestStrongNodeWins(t *testing.T) {
+	m := newMemory()
+	weak := newCandidateWith(t, m, "weak", false, 0.2)
+	strong := newCandidateWith(t, m, "strong", false, 0.8)
+	await(t, "the term", strong.terms)
+	awaitOwner(t, weak, "strong")
+	strong.Close()
+	await(t, "the next term", weak.terms)
+}
