--- a/lib/planner/worker.go
+++ b/lib/planner/worker.go
@@ -18,7 +18,7 @@
 	fullTime = 500 * time.Millisecond
 	// faultsInRow is the number of failed runs of different jobs, without a
 	// success between them, that bars a worker. Tasks fail by their own fault
-	// one time in twenty, so three in a row are the worker's.
+	// one time in twenty, so two in a row are most likely the worker's.
 	faultsInRow = 2
 	// restopTime is the pause between orders to stop that go unanswered.
 	restopTime = time.Second
