Install configurations in one place; time transactions without a goroutine

Cause: reading the diff. A configuration was put into force by two copies of the same code, an event type served one caller, and each transaction started a goroutine and a timer only to tell that it takes long. A watch that returned an unreadable configuration at once counted as proof that nothing had changed for the whole wait, so the configuration in force seemed up to 0.7 s fresher than it was.

Change: session.install serves both callers; list passes updates to the planner itself; the start of the transaction in progress is kept and compared; the adapter says whether nothing changed.

No bound or check changed.

--- a/lib/controller/controller.go
+++ b/lib/controller/controller.go
@@ -175,7 +175,7 @@
 		return Reply{Outcome: OK}
 	}
 	unknown := Reply{Outcome: Unknown, Detail: "send the call again with the same id; it may have been carried out"}
-	if s.stalled.Load() {
+	if s.stalled() {
 		if _, ok := s.pending.Get(c.job); ok {
 			return unknown // an earlier attempt may yet be stored
 		}
@@ -210,7 +210,7 @@
 	events     *pipe.Queue[event]
 	directory  atomic.Pointer[directory]
 	confirmed  atomic.Int64 // timer.Boot when the directory was last known to be the newest
-	stalled    atomic.Bool
+	committing atomic.Int64 // timer.Boot when the transaction in progress began, or zero
 	jobs       *shard.Map[id.Job, planner.Status]
 	asks       *pipe.Queue[planner.Ask]
 	pending    *shard.Map[id.Job, struct{}] // jobs of calls that wait for a cycle
@@ -230,6 +230,13 @@
 // age is the time since the configuration was last known to be the newest.
 func (s *session) age() time.Duration { return timer.Boot() - time.Duration(s.confirmed.Load()) }
 
+// stalled reports whether a transaction has been in progress for so long that
+// further jobs are refused at once.
+func (s *session) stalled() bool {
+	begun := s.committing.Load()
+	return begun > 0 && timer.Boot()-time.Duration(begun) > stallTime
+}
+
 func (s *session) waiting(queue task.QueueName) int {
 	n, _ := s.queues.Get(queue)
 	return n
--- a/lib/controller/cycle.go
+++ b/lib/controller/cycle.go
@@ -194,18 +194,10 @@
 		Remove: removals,
 	}
 	begun, pause := s.controller.config.Timer.Now(), commitRetry
-	defer s.stalled.Store(false)
+	s.committing.Store(int64(timer.Boot()))
+	defer s.committing.Store(0)
 	for {
 		call, cancel := context.WithTimeout(ctx, commitTimeout)
-		stall := s.controller.config.Timer.After(stallTime)
-		s.wg.Go(func() {
-			defer stall.Stop()
-			select {
-			case <-stall.C:
-				s.stalled.Store(true)
-			case <-call.Done():
-			}
-		})
 		result, err := s.controller.config.Store.Commit(call, txn)
 		cancel()
 		switch {
@@ -222,7 +214,6 @@
 		case problem.Is(err, problem.Invalid):
 			return err
 		}
-		s.stalled.Store(s.controller.config.Timer.Now().Sub(begun) > stallTime)
 		s.controller.store.Observe(err)
 		if err := timer.Sleep(ctx, s.controller.config.Timer, timer.Jitter(pause)); err != nil {
 			return context.Cause(ctx)
@@ -324,7 +315,9 @@
 	if err != nil {
 		return errors.Wrap(err, "read the configuration")
 	}
-	s.configure(config, timer.Boot()-configWait)
+	s.install(config)
+	s.planner.Configure(rules(*config.Config)) // restored jobs need it before the first cycle
+	s.confirmed.Store(int64(timer.Boot() - configWait))
 	workers, err := s.controller.config.Lists.ReadWorkers(ctx)
 	if err != nil {
 		return errors.Wrap(err, "read the list of workers")
--- a/lib/controller/fake_test.go
+++ b/lib/controller/fake_test.go
@@ -153,7 +153,7 @@
 }
 
 func (l fakeLists) NextConfig(ctx context.Context, after kv.Version, wait time.Duration) (controller.Update, error) {
-	return controller.Update{Version: after}, timer.Sleep(ctx, timer.NewSystem(), wait)
+	return controller.Update{Version: after, Unchanged: true}, timer.Sleep(ctx, timer.NewSystem(), wait)
 }
 
 func (l fakeLists) NextWorkers(ctx context.Context, after kv.Version, wait time.Duration) (controller.Update, error) {
--- a/lib/controller/lists.go
+++ b/lib/controller/lists.go
@@ -19,17 +19,18 @@
 // soon after the store is back.
 const listRetry = 150 * time.Millisecond
 
-// configure puts a configuration into force for calls that come from now on.
-// It was read by a call that was sent at read.
-func (s *session) configure(u Update, read time.Duration) {
+// install puts a configuration into force for calls that come from now on, if
+// it is newer than the present one. The planner learns of it with the next
+// cycle.
+func (s *session) install(u Update) {
 	old := s.directory.Load()
-	if u.Config != nil && (old == nil || u.Config.Version > old.config.Version) {
-		s.directory.Store(newDirectory(*u.Config))
-		s.planner.Configure(rules(*u.Config))
-		klog.InfoS("configuration in force", "event", "config", "config", u.Config.Number, "routes", len(u.Config.Routes),
-			"storeVersion", u.Version)
+	if u.Config == nil || old != nil && u.Config.Version <= old.config.Version {
+		return
 	}
-	s.confirmed.Store(int64(read))
+	s.directory.Store(newDirectory(*u.Config))
+	_ = s.events.Put(configEvent{*u.Config}) // refused only when the session is over or far behind
+	klog.InfoS("configuration in force", "event", "config", "config", u.Config.Number, "routes", len(u.Config.Routes),
+		"storeVersion", u.Version)
 }
 
 func rules(c Configuration) planner.Rules {
@@ -47,8 +48,7 @@
 
 func (e configEvent) apply(s *session, _ time.Time, _ *batch) { s.planner.Configure(rules(e.config)) }
 
-// followConfig watches the configuration. The directory of calls changes at
-// once, and the planner with the next cycle.
+// followConfig watches the configuration.
 func (s *session) followConfig(ctx context.Context, version kv.Version) {
 	for ctx.Err() == nil {
 		sent := timer.Boot()
@@ -63,13 +63,8 @@
 		}
 		s.controller.lists.Observe(nil)
 		version = max(version, u.Version)
-		if u.Config != nil && u.Config.Version > s.directory.Load().config.Version {
-			s.directory.Store(newDirectory(*u.Config))
-			klog.InfoS("configuration in force", "event", "config", "config", u.Config.Number,
-				"routes", len(u.Config.Routes), "storeVersion", u.Version)
-			_ = s.events.Put(configEvent{*u.Config}) // refused only when the session is over or far behind
-		}
-		if u.Config == nil {
+		s.install(u)
+		if u.Unchanged {
 			// The service held the call back for the whole wait.
 			sent += configWait
 		}
@@ -85,20 +80,6 @@
 	_ = timer.Sleep(ctx, s.controller.config.Timer, timer.Jitter(listRetry))
 }
 
-type workersEvent struct{ update Update }
-
-func (e workersEvent) apply(s *session, now time.Time, _ *batch) {
-	for _, w := range e.update.Workers {
-		s.planner.Listed(now, w)
-	}
-	for _, name := range e.update.Removed {
-		s.planner.Unlisted(now, name)
-		if l, ok := s.links.Get(name); ok {
-			l.drop(now)
-		}
-	}
-}
-
 // list opens links to the workers of an update and passes it to the planner.
 func (s *session) list(ctx context.Context, now time.Time, u Update) {
 	for _, w := range u.Workers {
@@ -110,8 +91,14 @@
 			}
 			return l, true
 		})
+		s.planner.Listed(now, w)
+	}
+	for _, name := range u.Removed {
+		s.planner.Unlisted(now, name)
+		if l, ok := s.links.Get(name); ok {
+			l.drop(now)
+		}
 	}
-	workersEvent{u}.apply(s, now, nil)
 }
 
 // followWorkers watches the list of workers.
--- a/lib/controller/request.go
+++ b/lib/controller/request.go
@@ -101,6 +101,8 @@
 	Config  *Configuration
 	Workers []task.Worker
 	Removed []id.Worker
+	// Unchanged means that nothing changed during the whole wait.
+	Unchanged bool
 	// Skipped counts entries that could not be read.
 	Skipped int
 }
