Pace tasks that fill by the tails of the tasks that serve beside them

Cause: steps with fills and target_ms ran as if they had neither. On a deployment with such traffic a filling task may keep a serving task over its target for more than harm_ms, which breaks a rule, and its cores counted against workers' capacity.

The controller asks such workers every 500 ms.

Ruled out: moving filling tasks away instead. A move loses their work and a worker without serving tasks may not exist.

--- a/lib/controller/cycle.go
+++ b/lib/controller/cycle.go
@@ -245,7 +245,7 @@
 		reply()
 	}
 	for _, e := range b.heard {
-		e.link.release(e, s.planner.Busy(e.link.name))
+		e.link.release(e, s.planner.Busy(e.link.name), s.planner.Mixed(e.link.name))
 	}
 	for _, q := range c.Asks {
 		if err := s.asks.Put(q); err != nil {
@@ -279,6 +279,9 @@
 	if n.Reason != "" {
 		fields = append(fields, "reason", n.Reason)
 	}
+	if n.Tail > 0 {
+		fields = append(fields, "pace", n.Pace, "tailShare", n.Tail)
+	}
 	fields = append(fields, "ageMs", n.Age.Milliseconds(), "config", s.directory.Load().config.Number, "fence", s.term.Fence,
 		"commit", s.number)
 	klog.InfoS("decision", fields...)
--- a/lib/controller/link.go
+++ b/lib/controller/link.go
@@ -19,6 +19,9 @@
 	// holdWait is the longest time for which a worker holds a call back until
 	// one of its runs ends.
 	holdWait = 2 * time.Second
+	// mixedWait is the wait for workers on which tasks fill beside tasks that
+	// serve. The worker measures tails over half a second.
+	mixedWait = 500 * time.Millisecond
 	// holdTimeout is the time beyond the wait after which a call counts as
 	// unanswered. A worker answers within milliseconds.
 	holdTimeout = 700 * time.Millisecond
@@ -78,6 +81,7 @@
 	clockAt  time.Time
 	trusted  bool        // the last call was answered
 	busy     bool        // runs on the worker are not known to have ended
+	mixed    bool        // tasks fill beside tasks that serve
 	unheard  bool        // the planner waits for a first report
 	grant    time.Time   // when the last call that extends the lease was sent
 	acked    task.EndSeq // stored by a cycle
@@ -163,13 +167,13 @@
 
 // release lets the link go on after a cycle has stored what a report told. Only
 // its ends are acknowledged: a later report may wait for the next cycle.
-func (l *link) release(e *reportEvent, busy bool) {
+func (l *link) release(e *reportEvent, busy, mixed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if e.report.Incarnation == l.target.Incarnation {
 		l.acked = max(l.acked, e.lastEnd())
 	}
-	l.busy = busy
+	l.busy, l.mixed = busy, mixed
 	l.signal()
 }
 
@@ -236,6 +240,9 @@
 	l.mu.Lock()
 	target := l.target
 	h := Hold{Fence: l.session.term.Fence, Acked: l.acked, Wait: holdWait}
+	if l.mixed {
+		h.Wait = mixedWait
+	}
 	if l.trusted {
 		h.Until = l.until(now)
 	}
--- a/lib/planner/advice.go
+++ b/lib/planner/advice.go
@@ -75,7 +75,7 @@
 	}
 	var rooms []*room
 	for _, m := range p.rooms {
-		if p.allowedKind(g, m) && !a.refused[m.ID] && !a.valid(p.now, m.worker) && g.spec().Demand.Fits(m.Capacity) {
+		if p.allowedKind(g, m) && !a.refused[m.ID] && !a.valid(p.now, m.worker) && g.spec().Room().Fits(m.Capacity) {
 			rooms = append(rooms, m)
 		}
 	}
--- a/lib/planner/claim.go
+++ b/lib/planner/claim.go
@@ -25,7 +25,7 @@
 		for _, m := range victim.members {
 			for _, room := range p.rooms {
 				if room.worker == m.worker {
-					room.later = room.later.Plus(victim.spec().Demand)
+					room.later = room.later.Plus(victim.spec().Room())
 				}
 			}
 		}
@@ -59,11 +59,11 @@
 		for _, v := range victims {
 			for _, m := range v.members {
 				if other := index[m.worker]; other != nil {
-					later[other] = later[other].Plus(v.spec().Demand)
+					later[other] = later[other].Plus(v.spec().Room())
 				}
 			}
 		}
-		later[room] = later[room].Minus(g.spec().Demand)
+		later[room] = later[room].Minus(g.spec().Room())
 		taken[room]++
 		e.rooms, e.victims, e.cost = append(e.rooms, room), append(e.victims, victims...), e.cost+cost
 	}
@@ -87,7 +87,7 @@
 // victims returns the groups that have to stop so that one more task of g fits
 // on a worker.
 func (p *pass) victims(g *group, m *room, later unit.Resources, chosen []*group) ([]*group, float64, bool) {
-	demand := g.spec().Demand
+	demand := g.spec().Room()
 	if demand.Fits(later) {
 		return nil, 0, true
 	}
@@ -112,7 +112,7 @@
 		if demand.Fits(later) {
 			break
 		}
-		later = later.Plus(v.spec().Demand.Times(gain[v]))
+		later = later.Plus(v.spec().Room().Times(gain[v]))
 		victims, cost = append(victims, v), cost+p.loss(v)
 	}
 	return victims, cost, demand.Fits(later)
--- a/lib/planner/job.go
+++ b/lib/planner/job.go
@@ -62,6 +62,10 @@
 	stopped  time.Time // when the last order to stop was issued
 	percent  task.Percent
 	advanced time.Time // when percent last rose
+	tail     time.Duration
+	// pace is the pace that the worker has confirmed, for tasks that fill.
+	pace        task.Percent
+	paceOrdered time.Time
 }
 
 func (m *member) name() task.Name {
@@ -309,7 +313,7 @@
 			w.lapse = lapse
 		}
 		m := &member{group: g, index: place.Index, worker: w, incarnation: place.Incarnation, ordered: now,
-			settled: now, advanced: now}
+			settled: now, advanced: now, pace: unknownPace}
 		g.members = append(g.members, m)
 		w.add(m)
 	}
--- a/lib/planner/plan.go
+++ b/lib/planner/plan.go
@@ -44,7 +44,7 @@
 		later := free
 		for _, m := range w.members {
 			if m.stop {
-				later = later.Plus(m.group.spec().Demand)
+				later = later.Plus(m.group.spec().Room())
 			}
 		}
 		p.rooms = append(p.rooms, &room{worker: w, free: free, later: later})
@@ -224,7 +224,7 @@
 // yields reports whether a group waits to leave headroom. It answers a load of
 // nearly all accelerators with bursts of the first priority.
 func (p *pass) yields(g *group) bool {
-	if g.job.queue.Priority == 0 || g.spec().Service || p.late(g.job) || p.now.Sub(p.r.urgent) > headroomTime {
+	if g.spec().Room().Accelerators == 0 || g.job.queue.Priority == 0 || g.spec().Service || p.late(g.job) || p.now.Sub(p.r.urgent) > headroomTime {
 		return false
 	}
 	var free, all unit.Accelerators
@@ -232,15 +232,15 @@
 		free += max(0, m.free.Accelerators)
 		all += m.Capacity.Accelerators
 	}
-	free -= g.spec().Demand.Accelerators * unit.Accelerators(g.tasks)
+	free -= g.spec().Room().Accelerators * unit.Accelerators(g.tasks)
 	return float64(free) < headroom*float64(all)
 }
 
 // keep takes rooms out of the rest of the pass.
 func (p *pass) keep(g *group, rooms []*room) bool {
 	for _, m := range rooms {
-		m.free = m.free.Minus(g.spec().Demand)
-		m.later = m.later.Minus(g.spec().Demand)
+		m.free = m.free.Minus(g.spec().Room())
+		m.later = m.later.Minus(g.spec().Room())
 	}
 	return rooms != nil
 }
@@ -262,12 +262,13 @@
 	g.run++
 	g.started, g.stopping, g.faulted = p.now, false, false
 	for i, m := range rooms {
-		m.free, m.later = m.free.Minus(s.Demand), m.later.Minus(s.Demand)
+		m.free, m.later = m.free.Minus(s.Room()), m.later.Minus(s.Room())
 		mem := &member{group: g, index: g.first + i, worker: m.worker, incarnation: m.Incarnation, ordered: p.now,
-			advanced: p.now}
+			advanced: p.now, pace: task.FullPace}
 		g.members = append(g.members, mem)
 		m.add(mem)
 		p.r.order(p.now, Start, mem)
+		p.r.mix(p.now, m.worker)
 		p.r.note(Note{Event: "start", Job: g.job.ID, Task: mem.name(), Run: g.run, Worker: m.ID, Age: p.now.Sub(g.ready)})
 	}
 	p.r.touch(g.job)
@@ -407,21 +408,31 @@
 	return !possible || waited > cost
 }
 
+// mixes is 1 when a task of a step that fills would come beside one that serves
+// on a worker, or the other way round.
+func mixes(s *task.Step, w *worker) int {
+	if s.Fills && w.serves() || s.TailTarget > 0 && w.fills() {
+		return 1
+	}
+	return 0
+}
+
 // pack puts the tasks of a group on the rooms with the least free
 // accelerators, so that empty workers stay empty for large tasks.
 func pack(g *group, rooms []*room, p *pass, avail func(*room) unit.Resources) []*room {
 	s := g.spec()
 	type choice struct {
-		m    *room
-		n    int
-		free unit.Resources
+		m     *room
+		n     int
+		mixes int // 1 when a task that fills would come beside one that serves
+		free  unit.Resources
 	}
 	var choices []choice
 	total := 0
 	for _, m := range rooms {
 		free := avail(m)
-		if n := count(s.Demand, free, p.allowed(g, m)); n > 0 {
-			choices = append(choices, choice{m, n, free})
+		if n := count(s.Room(), free, p.allowed(g, m)); n > 0 {
+			choices = append(choices, choice{m, n, mixes(s, m.worker), free})
 			total += n
 		}
 	}
@@ -429,7 +440,7 @@
 		return nil
 	}
 	slices.SortStableFunc(choices, func(a, b choice) int {
-		return cmp.Or(cmp.Compare(a.free.Accelerators, b.free.Accelerators), cmp.Compare(a.free.Cores, b.free.Cores))
+		return cmp.Or(cmp.Compare(a.mixes, b.mixes), cmp.Compare(a.free.Accelerators, b.free.Accelerators), cmp.Compare(a.free.Cores, b.free.Cores))
 	})
 	placed := make([]*room, 0, g.tasks)
 	for _, c := range choices {
--- a/lib/planner/planner.go
+++ b/lib/planner/planner.go
@@ -55,6 +55,8 @@
 const (
 	Start OrderKind = "start"
 	Stop  OrderKind = "stop"
+	// Pace sets the share of its speed at which a run works.
+	Pace OrderKind = "pace"
 )
 
 // Order is one instruction to a worker. It is sent only after the records of
@@ -69,6 +71,8 @@
 	Saved       task.Checkpoint
 	// Ticket is the advice service's, for queues with advice.
 	Ticket string
+	// Pace is the new pace, for orders of that kind.
+	Pace   task.Percent
 	Issued time.Time
 }
 
@@ -82,6 +86,10 @@
 	Reason string
 	// Age is how long the subject has waited or run.
 	Age time.Duration
+	// Pace and Tail belong to decisions on a pace. Tail is the highest tail of
+	// the serving tasks as a share of its target.
+	Pace task.Percent
+	Tail float64
 }
 
 // Changes is what a series of events led to.
--- a/lib/planner/worker.go
+++ b/lib/planner/worker.go
@@ -34,10 +34,13 @@
 	listed   bool // the platform's list has the worker
 	members  []*member
 	used     unit.Resources
-	lapse    time.Time // when the last lease granted has surely ended
-	reported bool      // it has answered this owner
-	barred   time.Time // no starts before this time
-	faults   []id.Job  // jobs that failed here since the last success
+	lapse    time.Time    // when the last lease granted has surely ended
+	reported bool         // it has answered this owner
+	barred   time.Time    // no starts before this time
+	faults   []id.Job     // jobs that failed here since the last success
+	mixed    bool         // serving and filling tasks have come together
+	pace     task.Percent // of the filling tasks
+	paced    time.Time    // when pace last changed
 	// doubts are runs that were given up with an order about them unanswered.
 	// The worker may still start them once it has a lease again.
 	doubts map[task.Name]doubt
@@ -50,14 +53,14 @@
 
 func (w *worker) add(m *member) {
 	w.members = append(w.members, m)
-	w.used = w.used.Plus(m.group.spec().Demand)
+	w.used = w.used.Plus(m.group.spec().Room())
 }
 
 func (w *worker) drop(m *member) {
 	n := len(w.members)
 	w.members = slices.DeleteFunc(w.members, func(other *member) bool { return other == m })
 	if len(w.members) < n {
-		w.used = w.used.Minus(m.group.spec().Demand)
+		w.used = w.used.Minus(m.group.spec().Room())
 	}
 }
 
@@ -75,7 +78,7 @@
 func (r *Planner) worker(name id.Worker) *worker {
 	w, ok := r.workers[name]
 	if !ok {
-		w = &worker{Worker: task.Worker{ID: name}}
+		w = &worker{Worker: task.Worker{ID: name}, pace: task.FullPace}
 		r.workers[name] = w
 	}
 	return w
@@ -163,6 +166,7 @@
 			r.memberEnded(now, m, task.Lapsed, "", "the worker no longer lists the run")
 		}
 	}
+	r.followTail(now, w)
 }
 
 // Granted notes that a call that was sent at sent may have extended the lease
@@ -183,7 +187,7 @@
 		return
 	}
 	g := m.group
-	m.running = true
+	m.running, m.tail = true, a.Tail
 	r.begin(g.job)
 	if a.Saved != "" {
 		g.saved = a.Saved
@@ -191,7 +195,7 @@
 	if a.Percent > m.percent || m.advanced.IsZero() {
 		m.percent, m.advanced = a.Percent, sent
 	}
-	if !m.stop && sent.Sub(m.advanced) > stallTime && a.Percent < 100 && !g.spec().Service {
+	if !m.stop && sent.Sub(m.advanced) > stallTime && a.Percent < 100 && g.spec().Advances() {
 		w.barred = now.Add(barTime)
 		g.avoid = append(g.avoid, w.ID)
 		r.stopGroup(now, g, "the run makes no progress")
@@ -317,6 +321,10 @@
 	if m == nil || m.incarnation != o.Incarnation {
 		return
 	}
+	if o.Kind == Pace {
+		m.paceAnswered(o, a)
+		return
+	}
 	if o.Kind == Stop {
 		if a == Accepted { // only then is a start that is carried out late refused
 			m.settled = now
@@ -416,7 +424,7 @@
 
 func (r *Planner) learn(now time.Time, g *group, m *member) {
 	s := g.spec()
-	if s.Estimate <= 0 || g.saved != "" || !now.After(m.ordered) {
+	if s.Estimate <= 0 || s.Fills || g.saved != "" || !now.After(m.ordered) {
 		return
 	}
 	e := r.runTime[g.job.Queue]
--- a/lib/task/task.go
+++ b/lib/task/task.go
@@ -33,9 +33,12 @@
 // ClockMillis is a time on a worker's own steady clock.
 type ClockMillis int64
 
-// Percent is the progress of a run.
+// Percent is the progress of a run, or the pace at which it works.
 type Percent int
 
+// FullPace is the pace at which a run starts.
+const FullPace Percent = 100
+
 // Priority orders queues; zero comes first.
 type Priority int
 
@@ -101,8 +104,28 @@
 	// MaxAway is the number of tasks of a Service step that the scheduler may
 	// make unavailable at once.
 	MaxAway int
+	// TailTarget bounds the tail of the response times of a Service task's own
+	// users; zero is no bound.
+	TailTarget time.Duration
+	// Fills means that the tasks use the processor time that other tasks leave
+	// over: their cores do not count against a worker's capacity, and they may be
+	// paced down.
+	Fills bool
 }
 
+// Room returns what one task takes from the capacity of a worker.
+func (s Step) Room() unit.Resources {
+	room := s.Demand
+	if s.Fills {
+		room.Cores = 0
+	}
+	return room
+}
+
+// Advances reports whether the progress of a task rises all the time. A task
+// that serves has none, and one that fills may have to wait for processor time.
+func (s Step) Advances() bool { return !s.Service && !s.Fills }
+
 // Job is an accepted job.
 type Job struct {
 	ID      id.Job
@@ -221,6 +244,9 @@
 	Run     Run
 	Saved   Checkpoint
 	Percent Percent
+	// Tail is the tail of the response times over the last half second. It holds
+	// for tasks that serve only.
+	Tail time.Duration
 }
 
 // End is a run that a worker reports as ended.
--- a/standin/cooperative/client.go
+++ b/standin/cooperative/client.go
@@ -57,6 +57,12 @@
 	for i, s := range steps {
 		b := map[string]any{"count": s.Count, "gpu": s.GPU, "cpu": 500, "mem_mb": 256, "gang": s.Gang,
 			"estimate_ms": s.Work.Milliseconds()}
+		if s.serves() {
+			b["long_running"], b["target_ms"], b["may_miss"] = true, s.Target.Milliseconds(), s.MayMiss
+		}
+		if s.Fills {
+			b["fills"] = true
+		}
 		if i > 0 {
 			b["after"] = []int{i - 1}
 		}
--- a/standin/cooperative/cooperative_test.go
+++ b/standin/cooperative/cooperative_test.go
@@ -224,3 +224,20 @@
 	}
 	is.New(t).True(w.Nodes[0].IsReady())
 }
+
+// TestFillsAreSlowedDown guards against filling tasks that keep a serving task
+// over its target, and against a deployment that does without them.
+func TestFillsAreSlowedDown(t *testing.T) {
+	w := newWorld(t, 2, 1)
+	serving := []cooperative.Step{{Count: 1, GPU: 1, Target: 200 * time.Millisecond}}
+	fills := []cooperative.Step{{Count: 2, GPU: 1, Fills: true, Work: 8 * second}}
+	if status := submit(w, 1, "00000000000000d1", serving); status != http.StatusOK {
+		t.Fatalf("status %d", status)
+	}
+	if status := submit(w, 2, "00000000000000d2", fills); status != http.StatusOK {
+		t.Fatalf("status %d", status)
+	}
+	awaitState(t, w, 2, "00000000000000d2", "completed")
+	awaitState(t, w, 1, "00000000000000d1", "running")
+	check(t, w)
+}
--- a/standin/cooperative/fleet.go
+++ b/standin/cooperative/fleet.go
@@ -20,13 +20,28 @@
 	Work time.Duration
 	// Fails is the number of runs of each task that fail.
 	Fails int
+	// Target bounds the tail of a task that serves until it is cancelled; zero
+	// means that the task ends.
+	Target time.Duration
+	// MayMiss is the number of serving tasks that may be away at once.
+	MayMiss int
+	// Fills means that the task disturbs those that serve beside it.
+	Fills bool
 }
 
+// serves reports whether the tasks of the step run until they are cancelled.
+func (s Step) serves() bool { return s.Target > 0 }
+
 // Bounds of the workers, as in the users' deployments.
 const (
 	holdMax  = 6 * time.Second
 	stopTime = 200 * time.Millisecond
 	gangWait = 3 * time.Second
+	// quietTail is the tail of a serving task by itself, as a share of its
+	// target, and disturbance what a filling task at full pace adds to it.
+	quietTail, disturbance = 0.5, 0.8
+	// harmTime is how long filling tasks may keep a serving task over its target.
+	harmTime = 4 * time.Second
 	// WorkerGPUs is the room of a worker.
 	WorkerGPUs = 8
 )
@@ -121,6 +136,8 @@
 	gang   *gang
 	ends   *time.Timer
 	began  time.Time // when the work began; zero while a gang waits
+	pace   int64     // in percent
+	harmed time.Time // since when the tail of a serving task is over its target, or zero
 }
 
 // percent is the progress of a run. The lock of the fleet is held.
@@ -128,10 +145,41 @@
 	if r.began.IsZero() {
 		return 0
 	}
+	if r.spec().serves() {
+		return 100
+	}
 	work := r.worker.fleet.jobs[r.job][r.step].Work
 	return min(99, int64(100*time.Since(r.began)/work))
 }
 
+// spec is the step of the run's task. The lock of the fleet is held.
+func (r *run) spec() Step { return r.worker.fleet.jobs[r.job][r.step] }
+
+// load is the tail of a serving task in milliseconds, or the processor time of
+// another in thousandths of a core. The lock of the fleet is held.
+func (r *run) load() int64 {
+	target := r.spec().Target
+	if target == 0 {
+		return 5 * r.pace
+	}
+	share := quietTail
+	for _, other := range r.worker.runs {
+		if other.spec().Fills {
+			share += disturbance * float64(other.pace) / 100
+		}
+	}
+	switch over := share > 1; {
+	case !over:
+		r.harmed = time.Time{}
+	case r.harmed.IsZero():
+		r.harmed = time.Now()
+	case time.Since(r.harmed) > harmTime:
+		r.worker.fleet.violate("task %s on %s is kept over its target for %v", r.name, r.worker.ID, time.Since(r.harmed))
+		r.harmed = time.Now()
+	}
+	return int64(share * float64(target.Milliseconds()))
+}
+
 type end struct {
 	seq    uint64
 	name   string
@@ -175,6 +223,7 @@
 	r.Post("/hold", w.hold)
 	r.Post("/run-start", w.start)
 	r.Post("/run-stop", w.stop)
+	r.Post("/pace", w.pace)
 	return r
 }
 
@@ -186,6 +235,7 @@
 	Fence    uint64 `json:"fence"`
 	Acked    uint64 `json:"acked_seq"`
 	Wait     int64  `json:"wait_ms"`
+	Percent  int64  `json:"percent"`
 }
 
 func (w *Worker) clock() int64 { return time.Since(w.epoch).Milliseconds() }
@@ -251,7 +301,7 @@
 	}
 	running, finished := [][]any{}, [][]any{}
 	for _, run := range w.runs {
-		running = append(running, []any{run.name, run.number, "", run.percent()})
+		running = append(running, []any{run.name, run.number, "", run.percent(), run.load()})
 	}
 	for _, e := range w.ends {
 		finished = append(finished, []any{e.seq, e.name, e.number, e.how, ""})
@@ -314,7 +364,7 @@
 
 // newRun returns the run of an order, and whether there is room for it.
 func (w *Worker) newRun(c orderCall) (*run, bool) {
-	run := &run{worker: w, name: c.Task, number: c.Run}
+	run := &run{worker: w, name: c.Task, number: c.Run, pace: 100}
 	var occurrence int
 	name := strings.ReplaceAll(c.Task, ".", " ")
 	if _, err := fmt.Sscanf(name, "%s %d %d %d", &run.job, &occurrence, &run.step, &run.index); err != nil {
@@ -347,7 +397,9 @@
 	if !step.Gang {
 		f.gangs[r.name] = f.checkSingle(r)
 		r.began = time.Now()
-		r.ends = time.AfterFunc(step.Work, func() { f.complete(r) })
+		if !step.serves() {
+			r.ends = time.AfterFunc(step.Work, func() { f.complete(r) })
+		}
 		return
 	}
 	key := fmt.Sprintf("%s.%d.%d", r.job, r.step, r.number)
@@ -444,6 +496,21 @@
 	}
 }
 
+func (w *Worker) pace(rw http.ResponseWriter, r *http.Request) {
+	c, ok := w.admit(rw, r)
+	if !ok {
+		return
+	}
+	defer w.fleet.mu.Unlock()
+	run := w.runs[c.Task]
+	if run == nil || run.number != c.Run {
+		reply(rw, http.StatusConflict, map[string]any{"clock_ms": w.clock(), "reason": "old"})
+		return
+	}
+	run.pace = c.Percent
+	reply(rw, http.StatusOK, map[string]any{"clock_ms": w.clock()})
+}
+
 func (w *Worker) stop(rw http.ResponseWriter, r *http.Request) {
 	c, ok := w.admit(rw, r)
 	if !ok {
