Carry out waves of upkeep

The owner watches op/ instead of op/config, with the same calls as before. The planner clears VMs ahead of their turn, keeps the number that are down within the wave's bound, never ends a serving task that its step may not miss, and stores that an order was given before it is sent. platform/machines.go lists VMs and orders upkeep; the list is read only while a wave is open.

Ruled out: counting a VM as back by its new worker's entry alone. An order that is carried out late would then overlap with the next one; the list read after the platform's confirmation shows the VM's state.

Before: the six planner tests of waves failed. After: they pass, and TestWaveOfUpkeep (daemon processes, owner killed in the middle) passes; of ten mutants of the wave code six were caught at first, and all but one after three further tests; that one was a field without effect, which is gone.

Moves between pools are not built.

--- a/bronzewinchd/platform.go
+++ b/bronzewinchd/platform.go
@@ -108,6 +108,9 @@
 	if a := platform.NewAdviser(s.Advice); a != nil {
 		c.Adviser = a
 	}
+	if m := platform.NewMachines(s.VMs, set); m != nil {
+		c.VMs = m
+	}
 	return controller.New(c)
 }
 
--- a/lib/controller/controller.go
+++ b/lib/controller/controller.go
@@ -79,6 +79,8 @@
 	Workers Workers
 	// Adviser may be nil where no queue has advice.
 	Adviser Adviser
+	// VMs may be nil where the platform has no VMs to keep up.
+	VMs     VMs
 	Planner planner.Config
 	Timer   timer.Service
 	Metrics *metrics.Set
@@ -213,6 +215,8 @@
 	committing atomic.Int64 // timer.Boot when the transaction in progress began, or zero
 	jobs       *shard.Map[id.Job, planner.Status]
 	asks       *pipe.Queue[planner.Ask]
+	upkeeps    *pipe.Queue[planner.Upkeep]
+	upkeeping  atomic.Bool                  // a wave of upkeep is not over
 	pending    *shard.Map[id.Job, struct{}] // jobs of calls that wait for a cycle
 	queues     *shard.Map[task.QueueName, int]
 	links      *shard.Map[id.Worker, *link]
@@ -257,7 +261,8 @@
 		controller: d, term: term, planner: planner.New(d.config.Planner), events: pipe.NewQueue[event](eventLimit),
 		jobs: shard.NewMap[id.Job, planner.Status](), queues: shard.NewMap[task.QueueName, int](),
 		pending: shard.NewMap[id.Job, struct{}](), asks: pipe.NewQueue[planner.Ask](askLimit),
-		links: shard.NewMap[id.Worker, *link](), commit: term.Commit, over: make(chan struct{}),
+		upkeeps: pipe.NewQueue[planner.Upkeep](upkeepLimit),
+		links:   shard.NewMap[id.Worker, *link](), commit: term.Commit, over: make(chan struct{}),
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer s.wg.Wait()
@@ -271,6 +276,10 @@
 	if d.config.Adviser != nil {
 		s.wg.Go(func() { s.advise(ctx, d.config.Adviser) })
 	}
+	if d.config.VMs != nil {
+		s.wg.Go(func() { s.orderUpkeep(ctx, d.config.VMs) })
+		s.wg.Go(func() { s.followVMs(ctx, d.config.VMs) })
+	}
 	d.session.Store(s)
 	defer d.session.Store(nil)
 	return s.run(ctx)
--- a/lib/controller/cycle.go
+++ b/lib/controller/cycle.go
@@ -122,6 +122,7 @@
 		s.pass(now)
 		s.planner.Plan(now)
 		changes := s.planner.Take()
+		s.upkeeping.Store(s.planner.Upkeeping())
 		if err := s.store(ctx, changes); err != nil {
 			s.term.End(err)
 			return err
@@ -153,6 +154,20 @@
 		}
 		writes = append(writes, kv.Write{Key: progressPrefix + string(p.Job), Value: value})
 	}
+	for _, p := range c.Waves {
+		value, err := codec.CBOR.Marshal(p)
+		if err != nil {
+			return errors.Wrapf(err, "wave %d", p.Number)
+		}
+		status, err := s.controller.config.VMs.Status(p)
+		if err != nil {
+			return errors.Wrapf(err, "status of wave %d", p.Number)
+		}
+		writes = append(writes, kv.Write{Key: waveKey(p.Number), Value: value}, status)
+	}
+	for _, n := range c.Finished {
+		removals = append(removals, waveKey(n))
+	}
 	for _, name := range c.Removed {
 		removals = append(removals, jobPrefix+string(name), progressPrefix+string(name))
 	}
@@ -252,6 +267,11 @@
 			_ = s.events.Put(&adviceEvent{ask: q, err: err}) // the planner asks again
 		}
 	}
+	for _, u := range c.Upkeeps {
+		if err := s.upkeeps.Put(u); err != nil {
+			_ = s.events.Put(&upkeepEvent{order: u, answer: planner.NotNow}) // the planner orders it again
+		}
+	}
 	for _, o := range c.Orders {
 		if l, ok := s.links.Get(o.Worker); ok {
 			l.send(o)
@@ -279,6 +299,9 @@
 	if n.Reason != "" {
 		fields = append(fields, "reason", n.Reason)
 	}
+	if n.Wave > 0 {
+		fields = append(fields, "wave", n.Wave, "vm", n.VM)
+	}
 	if n.Tail > 0 {
 		fields = append(fields, "pace", n.Pace, "tailShare", n.Tail)
 	}
@@ -342,6 +365,9 @@
 	for _, j := range jobs {
 		s.planner.Restore(now, lapse, j, byJob[j.ID])
 	}
+	if err := s.loadWaves(ctx, now, config.Waves); err != nil {
+		return err
+	}
 	s.planner.Resume(now)
 	for _, j := range jobs {
 		s.publishJob(j.ID)
--- a/lib/controller/lists.go
+++ b/lib/controller/lists.go
@@ -51,10 +51,10 @@
 // followConfig watches the configuration.
 func (s *session) followConfig(ctx context.Context, version kv.Version) {
 	for ctx.Err() == nil {
-		sent := timer.Boot()
+		sent, all := timer.Boot(), false
 		u, err := s.controller.config.Lists.NextConfig(ctx, version, configWait)
 		if problem.Is(err, problem.Expired) {
-			sent = timer.Boot()
+			sent, all = timer.Boot(), true
 			u, err = s.controller.config.Lists.ReadConfig(ctx)
 		}
 		if err != nil {
@@ -64,6 +64,11 @@
 		s.controller.lists.Observe(nil)
 		version = max(version, u.Version)
 		s.install(u)
+		if all || len(u.Waves)+len(u.Withdrawn) > 0 {
+			if err := s.events.Put(waveEvent{u.Waves, u.Withdrawn, all}); err != nil && ctx.Err() == nil {
+				klog.ErrorS(err, "change of the waves of upkeep lost", "event", "wave")
+			}
+		}
 		if u.Unchanged {
 			// The service held the call back for the whole wait.
 			sent += configWait
--- a/lib/controller/request.go
+++ b/lib/controller/request.go
@@ -101,6 +101,10 @@
 	Config  *Configuration
 	Workers []task.Worker
 	Removed []id.Worker
+	// Waves are those that the operators ask for, and Withdrawn those that they
+	// ask for no more.
+	Waves     []task.Wave
+	Withdrawn []task.WaveNumber
 	// Unchanged means that nothing changed during the whole wait.
 	Unchanged bool
 	// Skipped counts entries that could not be read.
--- a/lib/id/id.go
+++ b/lib/id/id.go
@@ -29,6 +29,9 @@
 // Node names an entry node, which is one daemon on one VM.
 type Node string
 
+// VM names a VM on which workers live, one after the other.
+type VM string
+
 // Service names a service that backend servers offer.
 type Service string
 
--- a/lib/planner/claim.go
+++ b/lib/planner/claim.go
@@ -126,7 +126,7 @@
 	case p.protected[v.job]:
 		return false
 	case v.spec().Service:
-		return p.protected[g.job] && p.mayMiss(v)
+		return p.protected[g.job] && p.r.mayMiss(v)
 	case p.protected[g.job] || v.job.queue.Priority > g.job.queue.Priority:
 		return true
 	}
@@ -134,8 +134,8 @@
 }
 
 // mayMiss reports whether one more task of a group's step may be away. Tasks
-// that this pass has already chosen count as away, as they are stopping.
-func (p *pass) mayMiss(v *group) bool {
+// that were chosen to stop before count as away, as they are stopping.
+func (r *Planner) mayMiss(v *group) bool {
 	s := v.spec()
 	if s.MaxAway == 0 {
 		return true
--- a/lib/planner/plan.go
+++ b/lib/planner/plan.go
@@ -37,7 +37,7 @@
 	}
 	p := &pass{r: r, now: now, protected: r.guaranteed()}
 	for _, w := range r.workers {
-		if !w.listed || !w.reported || w.Draining || now.Before(w.barred) {
+		if !w.listed || !w.reported || w.Draining || w.cleared || now.Before(w.barred) {
 			continue
 		}
 		free := w.free()
--- a/lib/planner/planner.go
+++ b/lib/planner/planner.go
@@ -25,6 +25,11 @@
 	Reclaim time.Duration
 	// StopTime is the longest time that a worker takes to stop a run.
 	StopTime time.Duration
+	// Upkeep is how long a VM is down for its upkeep.
+	Upkeep time.Duration
+	// Handover is the pause that the platform wants between orders of two owners
+	// for one VM.
+	Handover time.Duration
 	// Restore is the time that a start from a checkpoint takes beforehand.
 	Restore time.Duration
 }
@@ -83,6 +88,8 @@
 	Task   task.Name
 	Run    task.Run
 	Worker id.Worker
+	VM     id.VM
+	Wave   task.WaveNumber
 	Reason string
 	// Age is how long the subject has waited or run.
 	Age time.Duration
@@ -101,7 +108,11 @@
 	Removed []id.Job
 	Asks    []Ask
 	Orders  []Order
-	Notes   []Note
+	Waves   []task.WaveProgress
+	// Finished are waves of which no record is needed any more.
+	Finished []task.WaveNumber
+	Upkeeps  []Upkeep
+	Notes    []Note
 }
 
 // Planner is the state. It is used by one goroutine at a time.
@@ -114,6 +125,10 @@
 	runTime map[task.QueueName]*estimate
 	resumed time.Time // when the state of earlier owners was complete
 	urgent  time.Time // when the last job of the first priority was accepted
+	waves   map[task.WaveNumber]*wave
+	// completed are the waves that the operators have not removed yet.
+	completed map[task.WaveNumber]bool
+	vms       map[id.VM]*vm // the platform's list, or nil while none has been read
 
 	fresh   []task.Job
 	dirty   map[id.Job]*job
@@ -122,6 +137,10 @@
 	asks    []Ask
 	orders  []Order
 	notes   []Note
+
+	dirtyWaves map[task.WaveNumber]*wave
+	finished   []task.WaveNumber
+	upkeeps    []Upkeep
 }
 
 // New returns a planner without jobs and workers.
@@ -129,6 +148,8 @@
 	return &Planner{
 		config: c, jobs: make(map[id.Job]*job), workers: make(map[id.Worker]*worker),
 		runTime: make(map[task.QueueName]*estimate), dirty: make(map[id.Job]*job),
+		waves: make(map[task.WaveNumber]*wave), completed: make(map[task.WaveNumber]bool),
+		dirtyWaves: make(map[task.WaveNumber]*wave),
 	}
 }
 
@@ -148,9 +169,14 @@
 	for _, j := range r.dirty {
 		c.Progress = append(c.Progress, j.progress())
 	}
+	for _, n := range sortedKeys(r.dirtyWaves) {
+		c.Waves = append(c.Waves, r.dirtyWaves[n].progress())
+	}
+	c.Finished, c.Upkeeps = r.finished, r.upkeeps
 	clear(r.dirty)
-	r.asks = nil
-	r.fresh, r.begun, r.removed, r.orders, r.notes = nil, nil, nil, nil, nil
+	clear(r.dirtyWaves)
+	r.fresh, r.begun, r.removed, r.asks, r.orders, r.notes = nil, nil, nil, nil, nil, nil
+	r.finished, r.upkeeps = nil, nil
 	return c
 }
 
--- a/lib/planner/worker.go
+++ b/lib/planner/worker.go
@@ -38,6 +38,8 @@
 	reported bool         // it has answered this owner
 	barred   time.Time    // no starts before this time
 	faults   []id.Job     // jobs that failed here since the last success
+	cleared  bool         // its VM has its upkeep soon or now
+	vm       id.VM        // set once cleared has been
 	mixed    bool         // serving and filling tasks have come together
 	pace     task.Percent // of the filling tasks
 	paced    time.Time    // when pace last changed
@@ -380,6 +382,7 @@
 		}
 		r.stopDoubts(now, w)
 	}
+	r.tendWaves(now)
 	for name, j := range r.jobs {
 		if j.state.Ended() && now.Sub(j.ended) > r.config.Keep {
 			delete(r.jobs, name)
--- a/standin/cooperative/cooperative_test.go
+++ b/standin/cooperative/cooperative_test.go
@@ -241,3 +241,51 @@
 	awaitState(t, w, 1, "00000000000000d1", "running")
 	check(t, w)
 }
+
+// TestWaveOfUpkeep guards against a wave that is not carried out, that takes
+// too many machines or serving tasks away at once, or that loses jobs, while the
+// owner is killed in the middle.
+func TestWaveOfUpkeep(t *testing.T) {
+	w := newWorld(t, 3, 4)
+	serving := []cooperative.Step{{Count: 3, GPU: 1, Target: 200 * time.Millisecond, MayMiss: 1}}
+	if status := submit(w, 1, "00000000000000e1", serving); status != http.StatusOK {
+		t.Fatalf("status %d", status)
+	}
+	awaitState(t, w, 1, "00000000000000e1", "running")
+	const wave = 3
+	w.Cloud.Ask(wave, 30*second, 1)
+	var jobs []string
+	for n := range 5 {
+		job := fmt.Sprintf("00000000000001%02x", n)
+		jobs = append(jobs, job)
+		if status := submit(w, 2, job, []cooperative.Step{{Count: 4, GPU: 2, Work: second}}); status != http.StatusOK {
+			t.Fatalf("status %d", status)
+		}
+		if n == 2 {
+			owner := w.Owner()
+			<-owner.Signal(syscall.SIGKILL)
+			if err := owner.Start(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(second)
+	}
+	end := time.Now().Add(40 * second)
+	for {
+		state, begun := w.Cloud.State(wave)
+		if state == "completed" && !begun {
+			t.Fatal("the wave is shown as completed too early")
+		}
+		if state == "completed" {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatalf("the wave is %q", state)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	for _, job := range jobs {
+		awaitState(t, w, 2, job, "completed")
+	}
+	check(t, w)
+}
--- a/standin/cooperative/fleet.go
+++ b/standin/cooperative/fleet.go
@@ -122,22 +122,31 @@
 	return true
 }
 
+// report notes a broken promise.
+func (f *Fleet) report(format string, args ...any) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.violate(format, args...)
+}
+
+// violate is report with the lock held.
 func (f *Fleet) violate(format string, args ...any) {
 	f.violations = append(f.violations, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
 }
 
 type run struct {
-	worker *Worker
-	name   string
-	job    string
-	step   int
-	index  int
-	number uint32
-	gang   *gang
-	ends   *time.Timer
-	began  time.Time // when the work began; zero while a gang waits
-	pace   int64     // in percent
-	harmed time.Time // since when the tail of a serving task is over its target, or zero
+	worker   *Worker
+	name     string
+	job      string
+	step     int
+	index    int
+	number   uint32
+	gang     *gang
+	ends     *time.Timer
+	began    time.Time // when the work began; zero while a gang waits
+	pace     int64     // in percent
+	stopping bool
+	harmed   time.Time // since when the tail of a serving task is over its target, or zero
 }
 
 // percent is the progress of a run. The lock of the fleet is held.
@@ -200,6 +209,7 @@
 	highest map[string]uint32 // highest run that ended or was stopped
 	ends    []end
 	seq     uint64
+	gone    bool // its machine has gone down
 	changed chan struct{}
 }
 
@@ -250,6 +260,11 @@
 	}
 	w.fleet.mu.Lock()
 	w.expire()
+	if w.gone {
+		w.fleet.mu.Unlock()
+		reply(rw, http.StatusServiceUnavailable, struct{}{})
+		return c, false
+	}
 	if c.Fence < w.fence {
 		w.fleet.mu.Unlock()
 		reply(rw, http.StatusConflict, map[string]any{"clock_ms": w.clock(), "reason": "fence"})
@@ -299,6 +314,11 @@
 		w.fleet.mu.Lock()
 		w.expire()
 	}
+	if w.gone {
+		w.fleet.mu.Unlock()
+		reply(rw, http.StatusServiceUnavailable, struct{}{})
+		return
+	}
 	running, finished := [][]any{}, [][]any{}
 	for _, run := range w.runs {
 		running = append(running, []any{run.name, run.number, "", run.percent(), run.load()})
@@ -496,6 +516,34 @@
 	}
 }
 
+// vanish ends all runs without a report: the machine of the worker goes down.
+func (w *Worker) vanish() {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	for _, r := range w.runs {
+		if s := r.spec(); s.serves() && w.fleet.away(r) >= s.MayMiss {
+			w.fleet.violate("the upkeep of %s makes more than %d tasks of step %d of job %s unavailable", w.ID, s.MayMiss, r.step, r.job)
+		}
+	}
+	for _, r := range w.runs {
+		w.finish(r, "lapsed")
+	}
+	w.gone = true
+}
+
+// away is the number of other tasks of a run's step that do not serve now.
+func (f *Fleet) away(r *run) int {
+	n := f.jobs[r.job][r.step].Count - 1
+	for _, g := range f.gangs {
+		for _, m := range g.members {
+			if m != r && m.job == r.job && m.step == r.step && m.worker.runs[m.name] == m && !m.stopping {
+				n--
+			}
+		}
+	}
+	return n
+}
+
 func (w *Worker) pace(rw http.ResponseWriter, r *http.Request) {
 	c, ok := w.admit(rw, r)
 	if !ok {
@@ -519,6 +567,7 @@
 	defer w.fleet.mu.Unlock()
 	w.highest[c.Task] = max(w.highest[c.Task], c.Run)
 	if run := w.runs[c.Task]; run != nil && run.number <= c.Run {
+		run.stopping = true
 		time.AfterFunc(stopTime, func() {
 			w.fleet.mu.Lock()
 			defer w.fleet.mu.Unlock()
