Hand the scheduler over when the store turns its owner away

An owner in doubt asks the store and some nodes at once, ends its term when only the others get an answer, and has one of them end the lease. A node that finds an owner idle, or its own earlier life in the key, ends that lease too.

Ruled out: a shorter lease (a slow store would change owners without need), and writing over the key while the old owner may still serve (it could answer 410 for a job that the new one accepted). A store that is slow for all makes nobody hand over: other nodes get less time to answer than the owner itself.

The tests of election and relay failed before.

--- a/lib/controller/cycle.go
+++ b/lib/controller/cycle.go
@@ -230,6 +230,7 @@
 			return err
 		}
 		s.controller.store.Observe(err)
+		s.term.Doubt()
 		if err := timer.Sleep(ctx, s.controller.config.Timer, timer.Jitter(pause)); err != nil {
 			return context.Cause(ctx)
 		}
--- a/lib/election/election.go
+++ b/lib/election/election.go
@@ -37,6 +37,9 @@
 	// renewPeriod leaves time for two more attempts when a renewal is lost.
 	renewPeriod = 400 * time.Millisecond
 	callTimeout = 700 * time.Millisecond
+	// doubtAge is the age of the last renewal from which an owner finds out
+	// whether it has lost the service. Renewals come every renewPeriod.
+	doubtAge = 550 * time.Millisecond
 	// validSlack covers the difference between this node's clock and the
 	// service's over one lease.
 	validSlack = 150 * time.Millisecond
@@ -106,6 +109,9 @@
 
 	lease   kv.LeaseID
 	renewed atomic.Int64 // timer.Boot at the last renewal
+	doubted atomic.Bool  // a call has failed since the last renewal
+	recheck chan struct{}
+	over    chan struct{} // closed when the owner's work has ended
 	cancel  context.CancelCauseFunc
 }
 
@@ -118,6 +124,16 @@
 // End gives ownership up.
 func (t *Term) End(cause error) { t.cancel(cause) }
 
+// Doubt notes that a call of the owner to the service has failed, and has the
+// lease renewed at once.
+func (t *Term) Doubt() {
+	t.doubted.Store(true)
+	select {
+	case t.recheck <- struct{}{}:
+	default:
+	}
+}
+
 func (t *Term) age() time.Duration { return timer.Boot() - time.Duration(t.renewed.Load()) }
 
 // Config configures a Election.
@@ -138,6 +154,8 @@
 	store   *dependency.Dependency
 	stop    context.CancelFunc
 	wg      sync.WaitGroup
+	active  atomic.Bool          // a campaign or a term is in progress
+	term    atomic.Pointer[Term] // nil while this node is not the owner
 
 	mu    sync.Mutex
 	owner Owner
@@ -174,6 +192,66 @@
 	}
 }
 
+// Idle reports whether this node neither owns the scheduler nor tries to.
+func (t *Election) Idle() bool { return !t.active.Load() }
+
+// Doubtful reports whether this node is the owner and may have lost the service.
+func (t *Election) Doubtful() bool {
+	term := t.term.Load()
+	return term != nil && (term.doubted.Load() || term.age() > doubtAge)
+}
+
+// Reaches reports whether this node reaches the service now.
+func (t *Election) Reaches(ctx context.Context) bool {
+	_, err := t.config.Store.Get(ctx, CommitKey)
+	return err == nil || problem.Is(err, problem.NotFound)
+}
+
+// Resign gives ownership up. It returns the fence once the owner's work has
+// ended, or false when there is none to give up or ctx ends before.
+func (t *Election) Resign(ctx context.Context) (task.Fence, bool) {
+	term := t.term.Load()
+	if term == nil {
+		return 0, false
+	}
+	term.End(problem.New(problem.Unavailable, problem.Detail{
+		Field: "metadata store", Remedy: "let a node that reaches it become the owner"}))
+	select {
+	case <-term.over:
+		return term.Fence, true
+	case <-ctx.Done():
+		return 0, false
+	}
+}
+
+// Depose frees the owner key of an owner that has resigned or whose process has
+// ended. It does nothing once the key has another fence.
+func (t *Election) Depose(ctx context.Context, fence task.Fence) error {
+	items, _, err := t.config.Store.ListAll(ctx, OwnerKey)
+	if err != nil {
+		return err
+	}
+	for _, item := range items {
+		o, err := decodeOwner(item)
+		if err != nil {
+			return err
+		}
+		if item.Key != OwnerKey || o.Fence != fence {
+			continue
+		}
+		klog.InfoS("owner deposed", "event", "term", "node", t.config.Node, "owner", o.Node, "fence", fence)
+		if err := t.config.Store.Revoke(ctx, item.Lease); err != nil && !problem.Is(err, problem.NotFound) {
+			return err
+		}
+	}
+	return nil
+}
+
+func decodeOwner(item kv.Item) (o Owner, err error) {
+	err = cbor.Unmarshal(item.Value, &o)
+	return o, errors.Wrap(err, "owner key")
+}
+
 // Check makes the node read the owner key at once, because the owner did not
 // answer.
 func (t *Election) Check() {
@@ -220,12 +298,22 @@
 			}
 		case !found:
 			_ = timer.Sleep(ctx, t.config.Timer, retryWait)
+		case t.isOwn(t.Owner()):
+			// Nothing is followed during a term, so the key is of an earlier life
+			// of this node, or of a term that it has given up.
+			if err := t.Depose(ctx, t.Owner().Fence); err != nil && ctx.Err() == nil {
+				klog.InfoS("owner key not freed; its lease runs out by itself", "event", "term", "node", t.config.Node, "cause", err)
+				_ = timer.Sleep(ctx, t.config.Timer, retryWait)
+			}
 		default:
 			t.wait(ctx, version)
 		}
 	}
 }
 
+// isOwn reports whether an owner is this node.
+func (t *Election) isOwn(o Owner) bool { return o.Node == t.config.Node && o.Address == t.config.Address }
+
 // delay is the time for which this node leaves a campaign to nodes with more
 // processor time.
 func (t *Election) delay() time.Duration {
@@ -253,9 +341,9 @@
 		if item.Key != OwnerKey {
 			continue
 		}
-		var o Owner
-		if err := cbor.Unmarshal(item.Value, &o); err != nil {
-			return 0, false, errors.Wrap(err, "owner key")
+		o, err := decodeOwner(item)
+		if err != nil {
+			return 0, false, err
 		}
 		t.set(o)
 		return version, true, nil
@@ -297,6 +385,8 @@
 // campaign tries to become the owner, and works as the owner until the term
 // is over.
 func (t *Election) campaign(ctx context.Context) error {
+	t.active.Store(true)
+	defer t.active.Store(false)
 	term, err := t.win(ctx)
 	if err != nil {
 		return err
@@ -306,6 +396,7 @@
 	term.cancel = cancel
 	t.set(Owner{Node: t.config.Node, Address: t.config.Address, Fence: term.Fence})
 	klog.InfoS("ownership won", "event", "term", "node", t.config.Node, "fence", term.Fence)
+	t.term.Store(term)
 	var wg sync.WaitGroup
 	wg.Go(func() { t.renew(ctx, term) })
 	err = t.config.Holder.Serve(ctx, term)
@@ -314,6 +405,9 @@
 	}
 	cancel(err)
 	wg.Wait()
+	t.term.Store(nil)
+	t.active.Store(false)
+	close(term.over)
 	klog.InfoS("ownership ended", "event", "term", "node", t.config.Node, "fence", term.Fence, "cause", err)
 	t.mu.Lock()
 	t.owner = Owner{Fence: term.Fence}
@@ -368,7 +462,8 @@
 		_ = t.config.Store.Revoke(context.WithoutCancel(ctx), lease)
 		return nil, err
 	}
-	term := &Term{Fence: mark.Fence, Commit: result.Version, lease: lease}
+	term := &Term{Fence: mark.Fence, Commit: result.Version, lease: lease, recheck: make(chan struct{}, 1),
+		over: make(chan struct{})}
 	term.renewed.Store(int64(sent))
 	return term, nil
 }
@@ -382,6 +477,7 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
+		case <-term.recheck:
 		}
 		sent := timer.Boot()
 		call, cancel := context.WithTimeout(ctx, callTimeout)
@@ -393,9 +489,12 @@
 		switch {
 		case err == nil:
 			term.renewed.Store(int64(sent))
+			term.doubted.Store(false)
 		case problem.Is(err, problem.NotFound):
 			term.End(errors.Wrap(err, "the lease of the owner key has ended"))
 			return
+		default:
+			term.doubted.Store(true)
 		}
 	}
 }
--- a/lib/election/election_test.go
+++ b/lib/election/election_test.go
@@ -322,3 +322,78 @@
 	strong.Close()
 	await(t, "the next term", weak.terms)
 }
+
+// TestHandOver guards against a deployment that waits for a lease to run out
+// though the owner knows that the service turns it away and others reach it.
+func TestHandOver(t *testing.T) {
+	is := is.New(t)
+	m := newMemory()
+	a := newCandidate(t, m, "a", false)
+	first := await(t, "the first term", a.terms)
+	b := newCandidate(t, m, "b", false)
+	awaitOwner(t, b, "a")
+	is.True(!a.Doubtful())
+	is.True(!a.Idle())
+	is.True(b.Idle())
+	a.view.set(true, false)
+	begun := time.Now()
+	first.Doubt() // a call of the owner has failed
+	for !a.Doubtful() || a.Reaches(t.Context()) {
+		time.Sleep(5 * time.Millisecond)
+	}
+	is.True(b.Reaches(t.Context()))
+	fence, ok := a.Resign(t.Context())
+	is.True(ok)
+	is.True(a.Idle())
+	is.NoErr(b.Depose(t.Context(), fence))
+	second := await(t, "the second term", b.terms)
+	is.Equal(second.Fence, task.Fence(2))
+	is.True(time.Since(begun) < 700*time.Millisecond) // a lease lasts 1.5 s
+	_, ok = a.Resign(t.Context())
+	is.True(!ok)
+}
+
+// TestDeposeIsForOneFence guards against an owner that loses the key to a late
+// message about an earlier one.
+func TestDeposeIsForOneFence(t *testing.T) {
+	is := is.New(t)
+	m := newMemory()
+	a := newCandidate(t, m, "a", false)
+	first := await(t, "the first term", a.terms)
+	first.End(problem.New(problem.Unavailable, problem.Detail{Remedy: "none"}))
+	b := newCandidate(t, m, "b", false)
+	second := await(t, "the second term", b.terms)
+	is.NoErr(b.Depose(t.Context(), first.Fence))
+	time.Sleep(time.Second)
+	is.True(second.Valid())
+	is.Equal(len(a.terms)+len(b.terms), 0)
+}
+
+// TestDoubtPasses guards against an owner that stays in doubt after one call
+// that failed, or that hands over because its service is slow.
+func TestDoubtPasses(t *testing.T) {
+	is := is.New(t)
+	a := newCandidate(t, newMemory(), "a", false)
+	term := await(t, "the term", a.terms)
+	term.Doubt()
+	for limit := time.Now().Add(5 * time.Second); a.Doubtful(); time.Sleep(5 * time.Millisecond) {
+		is.True(time.Now().Before(limit))
+	}
+	is.True(term.Valid())
+}
+
+// TestKeyOfEarlierLife guards against a node that waits for the lease that its
+// own process held before it was started anew.
+func TestKeyOfEarlierLife(t *testing.T) {
+	is := is.New(t)
+	m := newMemory()
+	old := newCandidate(t, m, "a", false)
+	await(t, "the first term", old.terms)
+	old.view.set(true, false) // the lease of the process can't be given back
+	old.Close()
+	begun := time.Now()
+	anew := newCandidate(t, m, "a", false)
+	term := await(t, "the next term", anew.terms)
+	is.Equal(term.Fence, task.Fence(2))
+	is.True(time.Since(begun) < 500*time.Millisecond) // a lease lasts 1.5 s
+}
--- /dev/null
+++ b/lib/relay/handover.go
@@ -0,0 +1,123 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"bronzewinch.dev/lib/election"
+	"bronzewinch.dev/lib/id"
+	"bronzewinch.dev/lib/peer"
+	"bronzewinch.dev/lib/task"
+
+	"k8s.io/klog/v2"
+)
+
+const (
+	// reachTimeout is the time in which the owner's own question to the metadata
+	// store has to be answered, and peerTimeout the one for other nodes. The store
+	// answers within 4 ms, and on slow days within 240 ms. Other nodes get less,
+	// so that a store that is slow for all makes no owner hand over.
+	reachTimeout = 300 * time.Millisecond
+	peerTimeout  = 200 * time.Millisecond
+	// handOverPause is the pause between attempts to hand over. Each asks the
+	// store from some nodes, and calls have a price.
+	handOverPause = 500 * time.Millisecond
+	// resignTimeout bounds the end of the owner's work, which takes milliseconds.
+	resignTimeout = time.Second
+)
+
+// Reach asks a node whether it reaches the metadata store.
+type Reach struct {
+	Node id.Node `cbor:"node"`
+}
+
+// ReachReply tells whether it does.
+type ReachReply struct {
+	Reaches bool `cbor:"reaches"`
+}
+
+// Depose tells a node that the owner with a fence has given up and could not
+// tell the metadata store.
+type Depose struct {
+	Fence task.Fence `cbor:"fence"`
+}
+
+func (g *Relay) answerReach(ctx context.Context, _ Reach) (ReachReply, error) {
+	return ReachReply{Reaches: g.config.Owners.Reaches(ctx)}, nil
+}
+
+func (g *Relay) answerDepose(ctx context.Context, d Depose) (struct{}, error) {
+	return struct{}{}, g.config.Owners.Depose(ctx, d.Fence)
+}
+
+// handOver gives ownership up when the metadata store does not answer this node
+// and answers another one. Without it the deployment would wait until the lease
+// of the owner key has run out.
+func (g *Relay) handOver(ctx context.Context) {
+	now := g.config.Timer.Now()
+	if now.Sub(g.tried) < handOverPause {
+		return
+	}
+	g.tried = now
+	var wg sync.WaitGroup
+	var own bool
+	wg.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, reachTimeout)
+		defer cancel()
+		own = g.config.Owners.Reaches(ctx)
+	})
+	successor := g.reaching(ctx)
+	wg.Wait()
+	if own || successor == "" || ctx.Err() != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, resignTimeout)
+	defer cancel()
+	fence, ok := g.config.Owners.Resign(ctx)
+	if !ok {
+		return
+	}
+	klog.InfoS("ownership handed over", "event", "term", "node", g.config.Node, "fence", fence, "to", successor,
+		"cause", "the metadata store answers other nodes and not this one")
+	if _, err := peer.Call[Depose, struct{}](ctx, g.config.Pool, successor, deposeMethod, Depose{Fence: fence}); err != nil {
+		klog.InfoS("owner key not freed; its lease runs out by itself", "event", "term", "fence", fence, "cause", err)
+	}
+}
+
+// reaching returns the address of another node that reaches the metadata store,
+// or an empty text.
+func (g *Relay) reaching(ctx context.Context) string {
+	addresses := g.others("")
+	found := make(chan string, len(addresses))
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, a := range addresses {
+		wg.Go(func() {
+			r, err := peer.Call[Reach, ReachReply](ctx, g.config.Pool, a, reachMethod, Reach{Node: g.config.Node})
+			if err == nil && r.Reaches {
+				found <- a
+				cancel()
+			}
+		})
+	}
+	wg.Wait()
+	select {
+	case a := <-found:
+		return a
+	default:
+		return ""
+	}
+}
+
+// depose frees the place of an owner whose node says that it is idle: its
+// process has resigned or was started anew.
+func (g *Relay) depose(ctx context.Context, owner election.Owner) {
+	ctx, cancel := context.WithTimeout(ctx, resignTimeout)
+	defer cancel()
+	if err := g.config.Owners.Depose(ctx, owner.Fence); err != nil && ctx.Err() == nil {
+		klog.InfoS("owner key not freed; its lease runs out by itself", "event", "term", "fence", owner.Fence, "cause", err)
+	}
+	g.config.Owners.Check()
+}
--- a/lib/relay/relay.go
+++ b/lib/relay/relay.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,7 @@
 	"bronzewinch.dev/lib/id"
 	"bronzewinch.dev/lib/peer"
 	"bronzewinch.dev/lib/problem"
+	"bronzewinch.dev/lib/task"
 	"bronzewinch.dev/lib/timer"
 
 	"github.com/cockroachdb/errors"
@@ -29,6 +31,8 @@
 	// helloShare is the time between two greetings that the owner answers: with
 	// more than forty nodes each greets less often.
 	helloShare = 10 * time.Millisecond
+	// ownerPeriod is how often an owner finds out whether it should hand over.
+	ownerPeriod = 100 * time.Millisecond
 	// helloMost bounds the period at which a node greets.
 	helloMost = 2 * time.Second
 	// readyPeriods is how many periods one answer of the owner keeps this node
@@ -47,8 +51,10 @@
 
 // Methods between nodes.
 const (
-	callMethod  = "call"
-	helloMethod = "hello"
+	callMethod   = "call"
+	helloMethod  = "hello"
+	reachMethod  = "reach"
+	deposeMethod = "depose"
 )
 
 // Hello tells the owner that a node is in touch.
@@ -59,8 +65,11 @@
 
 // HelloReply tells what the node that was asked knows.
 type HelloReply struct {
-	Serving bool           `cbor:"serving"`
-	Owner   election.Owner `cbor:"owner"`
+	Node    id.Node `cbor:"node"`
+	Serving bool    `cbor:"serving"`
+	// Idle means that the node neither owns the scheduler nor tries to.
+	Idle  bool           `cbor:"idle,omitempty"`
+	Owner election.Owner `cbor:"owner"`
 	// Peers are addresses of some nodes that were lately in touch.
 	Peers []string `cbor:"peers,omitempty"`
 	// Period is how often the owner wants to be greeted.
@@ -72,6 +81,16 @@
 	Owner() election.Owner
 	Told(election.Owner)
 	Check()
+	// Idle reports whether this node neither owns the scheduler nor tries to.
+	Idle() bool
+	// Doubtful reports whether this node is the owner and may have lost the
+	// metadata store, and Reaches whether it reaches the store now.
+	Doubtful() bool
+	Reaches(ctx context.Context) bool
+	// Resign gives ownership up, and Depose frees the place of an owner that has
+	// resigned or ended.
+	Resign(ctx context.Context) (task.Fence, bool)
+	Depose(ctx context.Context, fence task.Fence) error
 }
 
 // Controller decides on calls where this node is the owner.
@@ -101,6 +120,7 @@
 
 	owner   *dependency.Dependency
 	leaving atomic.Bool
+	tried   time.Time // when this node last tried to hand over; used by the greeting goroutine alone
 
 	mu     sync.Mutex
 	seeds  []string
@@ -122,11 +142,13 @@
 		return c.Controller.Handle(ctx, req), nil
 	})
 	peer.Handle(c.Server, helloMethod, g.answerHello)
+	peer.Handle(c.Server, reachMethod, g.answerReach)
+	peer.Handle(c.Server, deposeMethod, g.answerDepose)
 	g.wg.Go(func() {
 		for ctx.Err() == nil {
 			begun := c.Timer.Now()
 			g.greet(ctx)
-			_ = timer.Sleep(ctx, c.Timer, max(helloPeriod/4, g.greetPeriod()-c.Timer.Now().Sub(begun)))
+			_ = timer.Sleep(ctx, c.Timer, max(ownerPeriod, g.greetPeriod()-c.Timer.Now().Sub(begun)))
 		}
 	})
 	return g
@@ -158,8 +180,11 @@
 	return !g.leaving.Load() && g.config.Timer.Now().Sub(g.ready) < readyPeriods*g.period
 }
 
-// greetPeriod is how often the owner is greeted.
+// greetPeriod is how often the owner is greeted, or looks after itself.
 func (g *Relay) greetPeriod() time.Duration {
+	if g.config.Owners.Owner().Node == g.config.Node {
+		return ownerPeriod
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.period
@@ -273,7 +298,7 @@
 	g.peers[h.Address] = now
 	period := min(helloMost, max(helloPeriod, helloShare*time.Duration(len(g.peers))))
 	g.mu.Unlock()
-	return HelloReply{Serving: g.config.Controller.Hello(h.Node), Owner: g.config.Owners.Owner(), Peers: g.known(now, replyPeers),
+	return HelloReply{Node: g.config.Node, Idle: g.config.Owners.Idle(), Serving: g.config.Controller.Hello(h.Node), Owner: g.config.Owners.Owner(), Peers: g.known(now, replyPeers),
 		Period: period}, nil
 }
 
@@ -305,6 +330,9 @@
 		if g.config.Controller.Hello("") {
 			g.served()
 		}
+		if g.config.Owners.Doubtful() {
+			g.handOver(ctx)
+		}
 		return
 	}
 	if owner.Address != "" {
@@ -317,6 +345,8 @@
 			}
 			if r.Owner.Fence > owner.Fence {
 				g.config.Owners.Told(r.Owner)
+			} else if r.Idle && r.Node == owner.Node {
+				g.depose(ctx, owner)
 			}
 			return
 		}
@@ -329,16 +359,21 @@
 	g.askOthers(ctx, owner)
 }
 
-func (g *Relay) askOthers(ctx context.Context, owner election.Owner) {
+// others returns the addresses of some other nodes, without one of them.
+func (g *Relay) others(without string) []string {
 	addresses := g.known(g.config.Timer.Now(), askedPeers)
 	g.mu.Lock()
 	addresses = append(addresses, g.seeds...)
 	g.mu.Unlock()
+	slices.Sort(addresses)
+	return slices.DeleteFunc(slices.Compact(addresses), func(a string) bool {
+		return a == "" || a == without || a == g.config.Address
+	})
+}
+
+func (g *Relay) askOthers(ctx context.Context, owner election.Owner) {
 	var wg sync.WaitGroup
-	for _, a := range addresses {
-		if a == owner.Address || a == g.config.Address {
-			continue
-		}
+	for _, a := range g.others(owner.Address) {
 		wg.Go(func() {
 			if r, err := g.hello(ctx, a); err == nil && r.Owner.Fence > owner.Fence {
 				g.config.Owners.Told(r.Owner)
--- a/lib/relay/relay_test.go
+++ b/lib/relay/relay_test.go
@@ -21,8 +21,13 @@
 
 // fakeOwners holds the owner that the test sets.
 type fakeOwners struct {
-	mu    sync.Mutex
-	owner election.Owner
+	mu       sync.Mutex
+	owner    election.Owner
+	doubtful bool
+	idle     bool
+	reaches  bool
+	resigned bool
+	deposed  task.Fence
 }
 
 func (o *fakeOwners) Owner() election.Owner {
@@ -39,6 +44,46 @@
 
 func (o *fakeOwners) Check() {}
 
+func (o *fakeOwners) Doubtful() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.doubtful
+}
+
+func (o *fakeOwners) Idle() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.idle
+}
+
+func (o *fakeOwners) Reaches(context.Context) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.reaches
+}
+
+func (o *fakeOwners) Resign(context.Context) (task.Fence, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.doubtful, o.resigned = false, true
+	return o.owner.Fence, true
+}
+
+func (o *fakeOwners) Depose(_ context.Context, f task.Fence) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.deposed = f
+	return nil
+}
+
+// state returns whether the node has resigned, and which fence it was told to
+// depose.
+func (o *fakeOwners) state() (resigned bool, deposed task.Fence) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.resigned, o.deposed
+}
+
 // fakeController gives one answer to every call, after it has hung while hang is open.
 type fakeController struct {
 	outcome controller.Outcome
@@ -204,3 +249,67 @@
 	is.Equal(len(last.Peers), 8)
 	is.Equal(last.Period, time.Second)
 }
+
+// TestOwnerHandsOver guards against an owner that keeps the scheduler though the
+// metadata store turns it away, and against one that gives it up though it or
+// no other node reaches the store.
+func TestOwnerHandsOver(t *testing.T) {
+	for _, test := range []struct {
+		name               string
+		doubtful, own, one bool
+		want               bool
+	}{
+		{"turned away", true, false, true, true},
+		{"nobody reaches the store", true, false, false, false},
+		{"one call failed", true, true, true, false},
+		{"no doubt", false, false, true, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			owner := newNode(t, "owner", &fakeController{})
+			peers := []*node{newNode(t, "p", &fakeController{}), newNode(t, "q", &fakeController{})}
+			for i, p := range peers {
+				p.owners.Told(owner.owner("owner", 3))
+				p.owners.reaches = test.one && i == 0
+				awaitReady(t, p) // the owner has heard of the node
+			}
+			owner.owners.mu.Lock()
+			owner.owners.owner = owner.owner("owner", 3)
+			owner.owners.doubtful, owner.owners.reaches = test.doubtful, test.own
+			owner.owners.mu.Unlock()
+			time.Sleep(time.Second)
+			resigned, _ := owner.owners.state()
+			is.Equal(resigned, test.want)
+			_, first := peers[0].owners.state()
+			_, second := peers[1].owners.state()
+			is.Equal(second, task.Fence(0)) // it could not depose anybody
+			is.Equal(first == 3, test.want)
+		})
+	}
+}
+
+// TestDeadOwnerIsDeposed guards against waiting for the lease of an owner whose
+// process was started anew and knows nothing of it.
+func TestDeadOwnerIsDeposed(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		node id.Node
+		idle bool
+		want task.Fence
+	}{{"started anew", "owner", true, 3}, {"at work", "owner", false, 0}, {"another node at the address", "other", true, 0}} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			owner := newNode(t, test.node, &fakeController{})
+			owner.owners.mu.Lock()
+			owner.owners.idle = test.idle
+			owner.owners.mu.Unlock()
+			follower := newNode(t, "follower", &fakeController{})
+			follower.owners.Told(owner.owner("owner", 3))
+			time.Sleep(time.Second)
+			_, deposed := follower.owners.state()
+			is.Equal(deposed, test.want)
+		})
+	}
+}
