Disturb waves of upkeep, serving and filling tasks in the soak

The soak asks for waves at random times, keeps a serving job whose tasks may miss one, and lets some steps fill.

Tests that run the daemon now import its packages, as the go command repeated an earlier result after a change of the daemon.

--- a/bwbench/soakbench/client.go
+++ b/bwbench/soakbench/client.go
@@ -28,6 +28,9 @@
 // client submits jobs and asks about them until the end of the run.
 func (s *soak) client(number int, r *rand.Rand) {
 	c := cooperative.NewClient()
+	if number == 0 {
+		defer s.serve(c, r)()
+	}
 	for n := 0; time.Now().Before(s.end); n++ {
 		time.Sleep(time.Duration(100+r.IntN(600)) * time.Millisecond)
 		j := &job{id: fmt.Sprintf("%04x%012x", number, n), queue: r.IntN(cooperative.Queues), steps: randomSteps(r)}
@@ -44,6 +47,24 @@
 	}
 }
 
+// serve submits a job whose tasks serve during the whole run. The function that
+// it returns cancels the job.
+func (s *soak) serve(c *cooperative.Client, r *rand.Rand) func() {
+	j := &job{id: "5e00000000000000", queue: 1, cancelled: true,
+		steps: []cooperative.Step{{Count: 3, GPU: 1, Target: 200 * time.Millisecond, MayMiss: 1}}}
+	s.world.Fleet.Define(j.id, j.steps)
+	s.submit(c, r, j)
+	return func() {
+		for range 10 * tries {
+			if status, _ := c.Call(http.MethodDelete, s.front(r), j.queue, j.id, nil); status == http.StatusOK || !j.accepted {
+				return
+			}
+			time.Sleep(time.Second)
+		}
+		s.violate("the cancel of job %s is not acknowledged", j.id)
+	}
+}
+
 func (s *soak) front(r *rand.Rand) string { return s.world.Nodes[r.IntN(len(s.world.Nodes))].Front }
 
 func randomSteps(r *rand.Rand) []cooperative.Step {
@@ -54,6 +75,9 @@
 		if r.IntN(10) == 0 {
 			s.Fails = 1
 		}
+		if !s.Gang && r.IntN(4) == 0 {
+			s.Fills = true
+		}
 		steps = append(steps, s)
 	}
 	return steps
--- a/bwbench/soakbench/soak.go
+++ b/bwbench/soakbench/soak.go
@@ -88,6 +88,7 @@
 		return Result{}, err
 	}
 	defer w.Close()
+	w.Fleet.Lenient()
 	if !w.AwaitReady(20 * time.Second) {
 		return Result{}, fmt.Errorf("the nodes are not ready; see the logs in %s", c.Dir)
 	}
@@ -100,6 +101,7 @@
 	s.heal()
 	wg.Wait()
 	s.settle()
+	s.checkWaves()
 	s.result.Starts = w.Fleet.Starts()
 	s.result.Violations = append(s.result.Violations, w.Fleet.Violations()...)
 	return s.result, nil
@@ -242,9 +244,16 @@
 	{"path to the store is slow", cut(cooperative.Delay, false)},
 	{"worker is cut off one way", cut(cooperative.Mute, true)},
 	{"worker is cut off", cut(cooperative.Hold, true)},
+	{"wave of upkeep", func(s *soak, r *rand.Rand) func() {
+		s.world.Cloud.Ask(s.world.Cloud.Waves()+1, waveTime, 1)
+		return nil
+	}},
 	{"configuration changes", func(s *soak, _ *rand.Rand) func() { s.world.Configure(); return nil }},
 }
 
+// waveTime is the time within which a wave should be over.
+const waveTime = 15 * time.Second
+
 // mostFaults is the number of faults that may overlap.
 const mostFaults = 3
 
@@ -273,6 +282,26 @@
 	wg.Wait()
 }
 
+// checkWaves waits until the last wave is over. Each wave asks for all VMs, so
+// earlier ones may overlap with it.
+func (s *soak) checkWaves() {
+	limit := time.Now().Add(2 * waveTime)
+	for wave := s.world.Cloud.Waves(); wave > 0; {
+		state, begun := s.world.Cloud.State(wave)
+		switch {
+		case state == "completed" && !begun:
+			s.violate("wave %d is shown as completed before all machines have begun their upkeep", wave)
+			return
+		case state == "completed":
+			return
+		case time.Now().After(limit):
+			s.violate("wave %d is %q after the faults have ended", wave, state)
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
 // heal ends every fault.
 func (s *soak) heal() {
 	for _, n := range s.world.Nodes {
--- a/bwbench/soakbench/soak_test.go
+++ b/bwbench/soakbench/soak_test.go
@@ -5,6 +5,11 @@
 	"time"
 
 	"bronzewinch.dev/bwbench/soakbench"
+
+	// The soak runs the daemon that is made of these packages. Without the
+	// imports the go command would repeat an earlier result after a change there.
+	_ "bronzewinch.dev/lib/relay"
+	_ "bronzewinch.dev/platform"
 )
 
 // TestSoak guards against promises that break when faults overlap. Each
--- a/standin/cooperative/cloud.go
+++ b/standin/cooperative/cloud.go
@@ -34,7 +34,7 @@
 	slot    *slot
 	lives   int
 	begun   map[uint64]bool // waves of which it has had its upkeep
-	down    bool
+	down    uint64          // the wave for which it is down, or zero
 }
 
 // Cloud is the platform's interface to the machines on which workers live.
@@ -64,7 +64,7 @@
 // bear starts the next worker of a machine. The lock is held.
 func (c *Cloud) bear(m *machine) {
 	m.lives++
-	m.down = false
+	m.down = 0
 	w := c.fleet.NewWorker(fmt.Sprintf("i-%s-%d", m.name, m.lives))
 	m.slot.worker.Store(w)
 	c.store.Write("servers/"+w.ID, w.Entry(m.address, m.rack, "ready"))
@@ -83,6 +83,13 @@
 		"duration_s": within.Seconds(), "cap": most})
 }
 
+// Waves is the number of the last wave.
+func (c *Cloud) Waves() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.wave
+}
+
 // State returns what the system says of a wave, and whether all its machines
 // have begun their upkeep.
 func (c *Cloud) State(wave uint64) (state string, begun bool) {
@@ -123,7 +130,7 @@
 		if w := m.slot.worker.Load(); w != nil {
 			row["id"] = w.ID
 		}
-		if m.down {
+		if m.down > 0 {
 			row["state"] = "upkeep"
 		}
 		all = append(all, row)
@@ -151,7 +158,7 @@
 	down := 0
 	var m *machine
 	for _, other := range c.machines {
-		if other.down {
+		if other.down == call.Wave {
 			down++
 		}
 		if other.name == call.Machine {
@@ -165,13 +172,13 @@
 	case m.begun[call.Wave]:
 		reply(rw, http.StatusOK, struct{}{})
 		return
-	case m.down:
+	case m.down > 0:
 		reply(rw, http.StatusConflict, map[string]string{"reason": "busy"})
 		return
 	case down >= c.most:
 		c.fleet.report("the upkeep of %s begins while %d machines are down", m.name, down)
 	}
-	m.begun[call.Wave], m.down = true, true
+	m.begun[call.Wave], m.down = true, call.Wave
 	w := m.slot.worker.Swap(nil)
 	w.vanish()
 	c.store.Write("servers/"+w.ID, nil)
--- a/standin/cooperative/cooperative_test.go
+++ b/standin/cooperative/cooperative_test.go
@@ -12,6 +12,11 @@
 
 	"bronzewinch.dev/standin/cooperative"
 
+	// The tests run the daemon that is made of these packages. Without the
+	// imports the go command would repeat an earlier result after a change there.
+	_ "bronzewinch.dev/lib/relay"
+	_ "bronzewinch.dev/platform"
+
 	"github.com/matryer/is"
 )
 
