Tell of lost contact in submit -wait and watch; print JSON from each bench alike

Cause: a watch tried for ever, in silence, when the nodes of its context had ended: unavailable and unknown answers were passed over. Now the first one is told on the standard error, each look tries all nodes of the context as before, and after -timeout (1 min) without an answer the command ends with status 7 and says how to follow the job later.

bwbench requests took a file with -json and the other experiments none. It now prints the report, with progress on the standard error, and draws a plot only with -svg FILE.

Before: TestWatchTellsOfLostContact failed. After: it and the other tests of the command pass; bwbench requests -run outage -json gives one JSON value.

--- a/bronzewinch/command/command.go
+++ b/bronzewinch/command/command.go
@@ -46,7 +46,7 @@
 		// Configuration records.
 		&applyCommand{timeout: time.Minute}, &checkCommand{}, &diffCommand{}, &getCommand{}, &historyCommand{limit: 20}, &convertCommand{},
 		// Jobs.
-		&submitCommand{}, &cancelCommand{}, &jobsCommand{limit: 100}, &watchCommand{every: time.Second}, &explainCommand{},
+		&submitCommand{timeout: contactTimeout}, &cancelCommand{}, &jobsCommand{limit: 100}, &watchCommand{watch{every: time.Second, timeout: contactTimeout}}, &explainCommand{},
 		// Entry nodes and workers.
 		&nodesCommand{}, &workersCommand{}, &drainCommand{},
 		// Reports on a deployment.
--- a/bronzewinch/command/command_test.go
+++ b/bronzewinch/command/command_test.go
@@ -172,3 +172,21 @@
 	is.Equal(status, command.StatusInterrupted)
 	is.True(strings.Contains(errs, "goes on"))
 }
+
+// TestWatchTellsOfLostContact guards against a watch that stays silent, or goes
+// on without end, when no node of its context answers any more.
+func TestWatchTellsOfLostContact(t *testing.T) {
+	for _, line := range []string{"submit -wait -timeout 100ms DIR/job.toml", "watch -timeout 100ms j1"} {
+		t.Run(line, func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(t)
+			r.ends = job.Running
+			r.jobs["j1"] = job.Job{ID: "j1", Phase: job.Waiting}
+			r.stopAfter = 2
+			status, _, errs := r.run(context.Background(), line+in)
+			is.Equal(status, command.StatusUnavailable)
+			is.True(strings.Contains(errs, "no node answers"))
+			is.True(strings.Contains(errs, "goes on"))
+		})
+	}
+}
--- a/bronzewinch/command/fake_test.go
+++ b/bronzewinch/command/fake_test.go
@@ -36,6 +36,10 @@
 	ends job.Phase
 	// log is the decision records of zone z1.
 	log []decision.Record
+	// stopAfter is the number of looks at jobs after which the node ends; zero is
+	// never.
+	stopAfter int
+	stop      func()
 }
 
 func (f *fake) Apply(_ context.Context, c record.Change) (id.Revision, error) {
@@ -101,6 +105,11 @@
 }
 
 func (f *fake) Get(_ context.Context, name id.Job) (job.Job, error) {
+	if f.stopAfter > 0 {
+		if f.stopAfter--; f.stopAfter == 0 {
+			f.stop()
+		}
+	}
 	j, ok := f.jobs[name]
 	if !ok {
 		return j, problem.New(problem.NotFound, problem.Detail{Field: "job", Value: string(name), Remedy: "list the jobs"})
@@ -161,6 +170,10 @@
 	s := httptest.NewServer(operator.New(operator.Config{Configuration: f, Jobs: f, Cluster: f, Holder: f, Metrics: metrics.NewSet(),
 		Reports: map[string]operator.Report{"burn": f.burn}, Clock: timer.NewSystem(), Ready: func() error { return nil }}))
 	t.Cleanup(s.Close)
+	f.stop = func() {
+		_ = s.Listener.Close() // later connections are refused
+		go s.CloseClientConnections()
+	}
 	r := &rig{fake: f, dir: t.TempDir(), url: s.URL}
 	r.write(t, "token", aliceToken.Reveal()+"\n")
 	r.write(t, "contexts.toml", fmt.Sprintf("current = \"demo\"\n[context.demo]\naddresses = [%q]\ntokenFile = \"token\"\n", s.URL))
--- a/bronzewinch/command/jobs.go
+++ b/bronzewinch/command/jobs.go
@@ -26,8 +26,9 @@
 }
 
 type submitCommand struct {
-	id   string
-	wait bool
+	id      string
+	wait    bool
+	timeout time.Duration
 }
 
 func (*submitCommand) Info() Info {
@@ -38,6 +39,7 @@
 func (c *submitCommand) Flags(sub *flaggy.Subcommand) {
 	sub.String(&c.id, "", "id", "id of the job; submitting again with the same id gives the same job (the record's name and a random part)")
 	sub.Bool(&c.wait, "", "wait", "watch the job until it ends")
+	sub.Duration(&c.timeout, "", "timeout", "longest time that -wait goes on without an answer of any node (1m)")
 }
 
 func (c *submitCommand) Run(ctx context.Context, e *Env) error {
@@ -68,7 +70,7 @@
 		return err
 	}
 	if c.wait {
-		return watch(ctx, e, cl, j.ID, time.Second)
+		return watch{every: time.Second, timeout: c.timeout}.run(ctx, e, cl, j.ID)
 	}
 	return show(e, j, func(t *table) { jobHead(t); jobRow(t, j) })
 }
@@ -160,7 +162,7 @@
 	})
 }
 
-type watchCommand struct{ every time.Duration }
+type watchCommand struct{ watch }
 
 func (*watchCommand) Info() Info {
 	return Info{Name: "watch", Args: "JOB", Summary: "Follow a job until it ends. Ctrl-C leaves the job as it is.", MinArgs: 1, MaxArgs: 1,
@@ -169,6 +171,7 @@
 
 func (c *watchCommand) Flags(sub *flaggy.Subcommand) {
 	sub.Duration(&c.every, "", "every", "time between two looks (1s)")
+	sub.Duration(&c.timeout, "", "timeout", "longest time without an answer of any node (1m)")
 }
 
 func (c *watchCommand) Run(ctx context.Context, e *Env) error {
@@ -176,21 +179,44 @@
 	if err != nil {
 		return err
 	}
-	return watch(ctx, e, cl, id.Job(e.Args[0]), c.every)
+	return c.run(ctx, e, cl, id.Job(e.Args[0]))
 }
 
-// watch shows a job whenever its phase or reason changes. Nodes that can't be
-// reached for a while do not end it.
-func watch(ctx context.Context, e *Env, cl *client.Client, name id.Job, every time.Duration) error {
+// contactTimeout is how long a watch goes on without an answer unless it is
+// told otherwise. Nodes that fail are replaced within seconds.
+const contactTimeout = time.Minute
+
+// watch follows a job.
+type watch struct {
+	every time.Duration
+	// timeout is the longest time without an answer of any node.
+	timeout time.Duration
+}
+
+// run shows a job whenever its phase or reason changes. Each look tries all
+// nodes of the context.
+func (w watch) run(ctx context.Context, e *Env, cl *client.Client, name id.Job) error {
 	var last job.Job
+	answered, lost := e.Clock.Now(), false
 	for {
 		j, err := client.Get[job.Job](ctx, cl, "/v1/jobs/"+url.PathEscape(string(name)))
 		switch {
 		case err == nil:
+			if lost {
+				fmt.Fprintln(e.Err, "a node answers again")
+			}
+			answered, lost = e.Clock.Now(), false
 		case ctx.Err() != nil:
 			return errors.Newf("job %s goes on", name)
 		case problem.Is(err, problem.Unavailable) || problem.Is(err, problem.Unknown):
-			j = last
+			if silence := e.Clock.Now().Sub(answered); silence >= w.timeout {
+				return problem.New(problem.Unavailable, problem.Detail{Field: "contact", Value: fmt.Sprintf("no node answers for %v", w.timeout),
+					Remedy: fmt.Sprintf("job %s goes on; follow it with `bronzewinch watch %s` once a node answers", name, name)})
+			}
+			if !lost {
+				fmt.Fprintf(e.Err, "no node answers; trying again for %v: %v\n", w.timeout, err)
+			}
+			j, lost = last, true
 		default:
 			return err
 		}
@@ -206,7 +232,7 @@
 			}
 			return nil
 		}
-		if timer.Sleep(ctx, e.Clock, every) != nil {
+		if timer.Sleep(ctx, e.Clock, w.every) != nil {
 			return errors.Newf("job %s goes on", name)
 		}
 	}
--- a/bwbench/requestbench/outage.go
+++ b/bwbench/requestbench/outage.go
@@ -65,7 +65,7 @@
 	r.failServers(base, servers, nodes)
 	r.slotUse(base, servers, nodes, capacity)
 	r.endNode(base, servers, nodes, m)
-	fmt.Println(r)
+	fmt.Fprintln(o.progress(), r)
 	for _, e := range nodes[1:] {
 		e.kill()
 	}
--- a/bwbench/requestbench/overhead.go
+++ b/bwbench/requestbench/overhead.go
@@ -70,7 +70,7 @@
 		wait.Wait()
 		if round > 0 {
 			for _, row := range list {
-				fmt.Println(row, "load average", loadAverage())
+				fmt.Fprintln(o.progress(), row, "load average", loadAverage())
 			}
 			rows = append(rows, list...)
 		}
--- a/bwbench/requestbench/overload.go
+++ b/bwbench/requestbench/overload.go
@@ -58,7 +58,7 @@
 			if err != nil {
 				return nil, err
 			}
-			fmt.Println(row)
+			fmt.Fprintln(o.progress(), row)
 			rows = append(rows, row)
 		}
 	}
--- a/bwbench/requestbench/requestbench.go
+++ b/bwbench/requestbench/requestbench.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"strconv"
 	"strings"
@@ -19,7 +20,7 @@
 // options are the flags of the command.
 type options struct {
 	experiment string
-	json       string
+	json       bool
 	svg        string
 	duration   time.Duration
 	requests   int
@@ -70,8 +71,8 @@
 	o := options{nodes: numbers{1, 2, 4, 8}, loads: numbers{0.5, 1, 2, 3}}
 	flags := flag.NewFlagSet("requests", flag.ContinueOnError)
 	flags.StringVar(&o.experiment, "run", "all", "overhead, overload, outage, faults or all")
-	flags.StringVar(&o.json, "json", "", "write the results as JSON to this file")
-	flags.StringVar(&o.svg, "svg", "", "write a plot to this file (default: beside the JSON file)")
+	flags.BoolVar(&o.json, "json", false, "print the results as JSON")
+	flags.StringVar(&o.svg, "svg", "", "write a plot to this file")
 	flags.DurationVar(&o.duration, "duration", 5*time.Second, "time of each measurement")
 	flags.IntVar(&o.requests, "requests", 100000, "number of requests of the fault run")
 	flags.IntVar(&o.backends, "backends", 50, "number of backend servers")
@@ -91,7 +92,7 @@
 	if err != nil {
 		return err
 	}
-	return o.write(r)
+	return o.write(r, os.Stdout)
 }
 
 func (o options) measure() (r report, err error) {
@@ -120,7 +121,7 @@
 		if r.Faults, err = runFaults(faultConfig{requests: o.requests, backends: o.backends, nodes: 4, workers: 256, progress: os.Stderr}); err != nil {
 			return r, err
 		}
-		fmt.Println(r.Faults)
+		fmt.Fprintln(o.progress(), r.Faults)
 	}
 	if !known {
 		return r, problem.New(problem.Invalid, problem.Detail{Field: "run", Value: o.experiment,
@@ -129,19 +130,26 @@
 	return r, nil
 }
 
-func (o options) write(r report) error {
-	if o.json == "" {
-		return nil
+// progress is where results are told as they come. With -json the standard
+// output is for the report alone.
+func (o options) progress() io.Writer {
+	if o.json {
+		return os.Stderr
 	}
-	b, err := json.MarshalIndent(r, "", "  ")
-	if err != nil {
-		return err
-	}
-	if err := os.WriteFile(o.json, append(b, '\n'), 0o644); err != nil {
-		return err
+	return os.Stdout
+}
+
+// write writes the report and the plot that the options ask for.
+func (o options) write(r report, out io.Writer) error {
+	if o.svg != "" {
+		if err := os.WriteFile(o.svg, plot(r), 0o644); err != nil {
+			return err
+		}
 	}
-	if o.svg == "" {
-		o.svg = o.json + ".svg"
+	if !o.json {
+		return nil
 	}
-	return os.WriteFile(o.svg, plot(r), 0o644)
+	encoder := json.NewEncoder(out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(r)
 }
--- a/bwbench/requestbench/requestbench_test.go
+++ b/bwbench/requestbench/requestbench_test.go
@@ -1,8 +1,11 @@
 package requestbench
 
 import (
+	"bytes"
+	"encoding/json"
 	"flag"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -134,3 +137,20 @@
 		s.Close()
 	}
 }
+
+// TestReportIsJSON guards against a standard output that holds more than the
+// report, so that other programs can't read it.
+func TestReportIsJSON(t *testing.T) {
+	is := is.New(t)
+	want := report{Outage: &outageReport{}}
+	var out bytes.Buffer
+	o := options{json: true}
+	is.NoErr(o.write(want, &out))
+	var got report
+	is.NoErr(json.Unmarshal(out.Bytes(), &got))
+	is.Equal(got, want)
+	is.Equal(o.progress(), os.Stderr)
+	out.Reset()
+	is.NoErr(options{}.write(want, &out))
+	is.Equal(out.Len(), 0)
+}
