Audit the logged decisions of the cooperative path

Cause: decisions there were in the logs only, and nothing checked them; the operators check every placement afterwards.

bronzewinch audit LOG... reads the logs of all nodes and checks six promises. The lines of a job's acceptance name the room of its tasks, those of a worker its capacity, and a new owner logs the runs that it takes over.

Ruled out: to infer what runs after a change of owner from the earlier owner's lines.

Before: no check.

A decision record that survives the loss of all logs is not built.

--- a/bronzewinch/command/audit.go
+++ b/bronzewinch/command/audit.go
@@ -71,8 +71,9 @@
 }
 
 func (*auditCommand) Info() Info {
-	return Info{Name: "audit", Summary: "Check recorded decisions against every promise, and replay them.",
-		Example: "bronzewinch audit -zone entoto -from 2026-11-01T00:00:00Z"}
+	return Info{Name: "audit", Args: "[LOG...]", MaxArgs: -1,
+		Summary: "Check recorded decisions against every promise, and replay them. With log files of nodes on the cooperative platform, check those.",
+		Example: "bronzewinch audit -zone entoto -from 2026-11-01T00:00:00Z\nbronzewinch audit logs/*.log"}
 }
 
 func (c *auditCommand) Flags(sub *flaggy.Subcommand) {
@@ -86,6 +87,9 @@
 	if c.json {
 		e.global.output = outputJSON
 	}
+	if len(e.Args) > 0 {
+		return auditLogs(e)
+	}
 	from, err := parseTime("from", c.from)
 	if err != nil {
 		return err
--- /dev/null
+++ b/bronzewinch/command/auditlogs.go
@@ -0,0 +1,50 @@
+package command
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"bronzewinch.dev/lib/logaudit"
+)
+
+// logPromises says in plain words what each check of logs means.
+var logPromises = map[logaudit.Promise]string{
+	logaudit.Once:      "no task runs twice, or again after its success",
+	logaudit.Attempts:  "no task runs more often than its queue allows",
+	logaudit.Order:     "no task starts before the steps that it depends on",
+	logaudit.WholeGang: "gangs start whole",
+	logaudit.Capacity:  "no worker is given more than it has",
+	logaudit.Outcome:   "a job is completed when all its tasks are done",
+}
+
+// auditLogs checks the decisions in the logs of nodes.
+func auditLogs(e *Env) error {
+	lines, err := readLogs(e.Args)
+	if err != nil {
+		return err
+	}
+	r := logaudit.Check(lines)
+	if err := show(e, r, func(t *table) { logTable(t, r) }); err != nil {
+		return err
+	}
+	if len(r.Findings) > 0 {
+		return &statusError{StatusFindings, fmt.Sprintf("%d findings; `bronzewinch trace ID LOG...` tells the story of a job", len(r.Findings))}
+	}
+	return nil
+}
+
+func logTable(t *table, r logaudit.Report) {
+	t.row("DECISIONS", "JOBS", "OWNERS")
+	t.row(r.Decisions, r.Jobs, r.Owners)
+	t.row("PROMISE", "CHECKED", "MEANS")
+	for _, p := range logaudit.Promises {
+		t.row(p, r.Checked[p], logPromises[p])
+	}
+	for _, cause := range slices.Sorted(maps.Keys(r.Unchecked)) {
+		t.row("not checked", r.Unchecked[cause], cause)
+	}
+	for _, f := range r.Findings {
+		t.row("FINDING", f.Time.Format("15:04:05.000"), f.Promise, f.Job, f.Reason)
+	}
+}
--- a/bronzewinch/command/fake_test.go
+++ b/bronzewinch/command/fake_test.go
@@ -181,6 +181,11 @@
 	r.write(t, "old.toml", "[[record]]\nbaseRevision = 0\nweight = 8\n"+f.written(t, "account/skymap"))
 	r.write(t, "wrong.toml", "[[record]]\nschema = \"v1\"\nkind = \"account\"\nname = \"A\"\ntokens = 3\n")
 	r.write(t, "job.toml", "[[record]]\nschema = \"v2\"\nkind = \"job\"\nname = \"j\"\naccount = \"skymap\"\ndeclaredRun = \"1h\"\nprogram = \"p\"\n[record.shape]\nworkers = 1\nlocality = \"rack\"\nperWorker = {cores = 1, memory = \"1GiB\"}\n")
+	const header = "I1204 14:28:08.000000 443 cycle.go:275] \"decision\" fence=1 commit=1 "
+	sound := header + "event=\"accepted\" job=\"00aa\" attempts=2 occurrences=1 steps=\"1x1a1c1m\"\n" +
+		header + "event=\"start\" job=\"00aa\" task=\"00aa.0.0.0\" run=1 worker=\"w\"\n"
+	r.write(t, "sound.log", sound)
+	r.write(t, "twice.log", sound+header+"event=\"start\" job=\"00aa\" task=\"00aa.0.0.0\" run=2 worker=\"w\"\n")
 	return r
 }
 
--- a/bronzewinch/command/trace.go
+++ b/bronzewinch/command/trace.go
@@ -29,18 +29,9 @@
 
 func (*traceCommand) Run(_ context.Context, e *Env) error {
 	name := e.Args[0]
-	var all []logline.Line
-	for _, path := range e.Args[1:] {
-		f, err := os.Open(path)
-		if err != nil {
-			return problem.New(problem.NotFound, problem.Detail{Field: "log", Value: path, Remedy: "name a log file that can be read"})
-		}
-		lines, err := logline.Read(strings.TrimSuffix(filepath.Base(path), filepath.Ext(path)), f)
-		_ = f.Close() // it was only read
-		if err != nil {
-			return err
-		}
-		all = append(all, lines...)
+	all, err := readLogs(e.Args[1:])
+	if err != nil {
+		return err
 	}
 	r := TraceResult{ID: name, Lines: logline.Story(all, name)}
 	if len(r.Lines) == 0 {
@@ -54,3 +45,22 @@
 		}
 	})
 }
+
+// readLogs reads the log files of nodes. A file's name is the node's where its
+// lines name none.
+func readLogs(paths []string) ([]logline.Line, error) {
+	var all []logline.Line
+	for _, path := range paths {
+		f, err := os.Open(path)
+		if err != nil {
+			return nil, problem.New(problem.NotFound, problem.Detail{Field: "log", Value: path, Remedy: "name a log file that can be read"})
+		}
+		lines, err := logline.Read(strings.TrimSuffix(filepath.Base(path), filepath.Ext(path)), f)
+		_ = f.Close() // it was only read
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
--- a/bwbench/soakbench/soak.go
+++ b/bwbench/soakbench/soak.go
@@ -104,6 +104,13 @@
 	s.checkWaves()
 	s.result.Starts = w.Fleet.Starts()
 	s.result.Violations = append(s.result.Violations, w.Fleet.Violations()...)
+	found, err := w.Audit()
+	if err != nil {
+		return s.result, err
+	}
+	for _, f := range found {
+		s.result.Violations = append(s.result.Violations, "audit of the logs: "+f)
+	}
 	return s.result, nil
 }
 
--- a/lib/controller/cycle.go
+++ b/lib/controller/cycle.go
@@ -300,12 +300,7 @@
 	if n.Reason != "" {
 		fields = append(fields, "reason", n.Reason)
 	}
-	if n.Wave > 0 {
-		fields = append(fields, "wave", n.Wave, "vm", n.VM)
-	}
-	if n.Tail > 0 {
-		fields = append(fields, "pace", n.Pace, "tailShare", n.Tail)
-	}
+	fields = append(fields, n.Fields...)
 	fields = append(fields, "ageMs", n.Age.Milliseconds(), "config", s.directory.Load().config.Number, "fence", s.term.Fence,
 		"commit", s.number)
 	klog.InfoS("decision", fields...)
--- a/lib/election/election.go
+++ b/lib/election/election.go
@@ -312,7 +312,9 @@
 }
 
 // isOwn reports whether an owner is this node.
-func (t *Election) isOwn(o Owner) bool { return o.Node == t.config.Node && o.Address == t.config.Address }
+func (t *Election) isOwn(o Owner) bool {
+	return o.Node == t.config.Node && o.Address == t.config.Address
+}
 
 // delay is the time for which this node leaves a campaign to nodes with more
 // processor time.
--- /dev/null
+++ b/lib/logaudit/logaudit_test.go
@@ -0,0 +1,115 @@
+package logaudit_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"bronzewinch.dev/lib/logaudit"
+	"bronzewinch.dev/lib/logline"
+
+	"github.com/matryer/is"
+)
+
+// log returns the lines of a log. Each decision is "FENCE COMMIT FIELDS".
+func log(t *testing.T, decisions ...string) []logline.Line {
+	t.Helper()
+	var text strings.Builder
+	for i, d := range decisions {
+		var fence, commit string
+		fields := strings.SplitN(d, " ", 3)
+		fence, commit = fields[0], fields[1]
+		fmt.Fprintf(&text, "I1204 14:28:%02d.000000     443 cycle.go:275] \"decision\" %s fence=%s commit=%s\n", i, fields[2], fence, commit)
+	}
+	lines, err := logline.Read("node-1", strings.NewReader(text.String()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return lines
+}
+
+const (
+	listed   = `1 1 event="workerListed" worker="w" capacity="8a32000c1000m"`
+	accepted = `1 2 event="accepted" job="j" attempts=2 occurrences=1 steps="2x4a100c10m 1x1a100c10m,after=0"`
+	gang     = `1 2 event="accepted" job="g" attempts=2 occurrences=1 steps="2x4a100c10m,gang"`
+)
+
+func start(commit int, name string, run int) string {
+	return fmt.Sprintf(`1 %d event="start" task=%q run=%d worker="w"`, commit, name, run)
+}
+
+func ended(commit int, name string, run int, how string) string {
+	return fmt.Sprintf(`1 %d event="ended" task=%q run=%d worker="w" reason="%s: reported by the worker"`, commit, name, run, how)
+}
+
+// TestCheck guards against decisions that break a promise and are not found,
+// and against sound ones that are reported.
+func TestCheck(t *testing.T) {
+	sound := []string{listed, accepted, start(3, "j.0.0.0", 1), start(3, "j.0.0.1", 1), ended(4, "j.0.0.0", 1, "done"),
+		ended(5, "j.0.0.1", 1, "failed"), start(5, "j.0.0.1", 2), ended(6, "j.0.0.1", 2, "done"), start(6, "j.0.1.0", 1),
+		ended(7, "j.0.1.0", 1, "done"), `1 7 event="completed" job="j" reason="all tasks are done"`}
+	for _, test := range []struct {
+		name string
+		log  []string
+		want []logaudit.Promise
+	}{
+		{"sound", sound, nil},
+		{"gang", []string{listed, gang, start(3, "g.0.0.0", 1), start(3, "g.0.0.1", 1), ended(4, "g.0.0.0", 1, "done"),
+			`1 4 event="completed" job="g"`}, nil},
+		{"started twice", []string{listed, accepted, start(3, "j.0.0.0", 1), start(4, "j.0.0.0", 2)}, []logaudit.Promise{logaudit.Once}},
+		{"started after its success", []string{listed, accepted, start(3, "j.0.0.0", 1), ended(4, "j.0.0.0", 1, "done"),
+			start(5, "j.0.0.0", 2)}, []logaudit.Promise{logaudit.Once}},
+		{"same number again", []string{listed, accepted, start(3, "j.0.0.0", 1), ended(4, "j.0.0.0", 1, "stopped"),
+			start(5, "j.0.0.0", 1)}, []logaudit.Promise{logaudit.Once}},
+		{"too many attempts", []string{listed, accepted, start(3, "j.0.0.0", 1), ended(4, "j.0.0.0", 1, "failed"),
+			start(5, "j.0.0.0", 2), ended(6, "j.0.0.0", 2, "failed"), start(7, "j.0.0.0", 3)}, []logaudit.Promise{logaudit.Attempts}},
+		{"too early", []string{listed, accepted, start(3, "j.0.0.0", 1), start(3, "j.0.0.1", 1), ended(4, "j.0.0.0", 1, "done"),
+			start(5, "j.0.1.0", 1)}, []logaudit.Promise{logaudit.Order}},
+		{"part of a gang", []string{listed, gang, start(3, "g.0.0.1", 1)}, []logaudit.Promise{logaudit.WholeGang}},
+		{"too much on a worker", []string{listed, accepted, gang, start(3, "j.0.0.0", 1), start(3, "j.0.0.1", 1),
+			start(4, "g.0.0.0", 1)}, []logaudit.Promise{logaudit.Capacity}},
+		{"completed too early", []string{listed, accepted, start(3, "j.0.0.0", 1), start(3, "j.0.0.1", 1),
+			ended(4, "j.0.0.0", 1, "done"), ended(4, "j.0.0.1", 1, "done"), `1 5 event="completed" job="j"`}, []logaudit.Promise{logaudit.Outcome}},
+		{"completed without its second time", []string{listed, strings.Replace(gang, "occurrences=1", "occurrences=2", 1),
+			start(3, "g.0.0.0", 1), start(3, "g.0.0.1", 1), ended(4, "g.0.0.0", 1, "done"), `1 4 event="completed" job="g"`},
+			[]logaudit.Promise{logaudit.Outcome}},
+		{"started after its end", append(sound[:len(sound):len(sound)], start(8, "j.0.1.0", 2)),
+			[]logaudit.Promise{logaudit.Once, logaudit.Outcome}},
+		{"two ends", append(sound[:len(sound):len(sound)], `1 9 event="cancelled" job="j"`), []logaudit.Promise{logaudit.Outcome}},
+		{"lines of the last owner are lost", []string{listed, accepted, start(3, "j.0.0.0", 1),
+			`2 4 event="start" task="j.0.0.0" run=2 worker="w"`}, nil},
+		{"run of the last owner is present", []string{listed, accepted, start(3, "j.0.0.0", 1),
+			`2 4 event="restored" task="j.0.0.0" run=1 worker="w"`, `2 4 event="start" task="j.0.0.0" run=2 worker="w"`},
+			[]logaudit.Promise{logaudit.Once}},
+		{"too much beside runs of the last owner", []string{listed, accepted, start(3, "j.0.0.0", 1), start(3, "j.0.0.1", 1),
+			`2 4 event="workerListed" worker="w" capacity="8a32000c1000m"`, `2 4 event="restored" task="j.0.0.0" run=1 worker="w"`,
+			`2 4 event="restored" task="j.0.0.1" run=1 worker="w"`, `2 4 event="accepted" job="k" attempts=2 occurrences=1 steps="1x1a1c1m"`,
+			`2 5 event="start" task="k.0.0.0" run=1 worker="w"`}, []logaudit.Promise{logaudit.Capacity}},
+		{"number does not rise over owners", []string{listed, accepted, start(3, "j.0.0.0", 3),
+			`2 4 event="start" task="j.0.0.0" run=2 worker="w"`}, []logaudit.Promise{logaudit.Once}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			r := logaudit.Check(log(t, test.log...))
+			var got []logaudit.Promise
+			for _, f := range r.Findings {
+				got = append(got, f.Promise)
+			}
+			is.Equal(got, test.want)
+			is.Equal(r.Decisions, len(test.log))
+		})
+	}
+}
+
+// TestUnchecked guards against an audit that is silent about what it could not
+// check.
+func TestUnchecked(t *testing.T) {
+	is := is.New(t)
+	lines := log(t, start(1, "x.0.0.0", 1), accepted, start(3, "j.0.0.0", 1), `2 4 event="completed" job="j"`,
+		`2 5 event="accepted" job="k" attempts="many"`)
+	lines = append(lines, logline.Line{Event: "dropped"})
+	r := logaudit.Check(lines)
+	is.Equal(len(r.Findings), 0)
+	is.Equal(len(r.Unchecked), 5)
+	is.Equal(r.Owners, 2)
+}
--- a/lib/planner/job.go
+++ b/lib/planner/job.go
@@ -103,7 +103,8 @@
 	r.active = append(r.active, j)
 	r.fresh = append(r.fresh, t)
 	r.openDue(now, j)
-	r.note(Note{Event: "accepted", Job: t.ID, Reason: string(t.Queue)})
+	r.note(Note{Event: "accepted", Job: t.ID, Reason: string(t.Queue), Fields: []any{"account", t.Account,
+		"attempts", q.Attempts, "occurrences", j.occurrences(), "steps", task.Outline(t.Steps)}})
 	return nil
 }
 
@@ -316,6 +317,7 @@
 			settled: now, advanced: now, pace: unknownPace}
 		g.members = append(g.members, m)
 		w.add(m)
+		r.note(Note{Event: "restored", Job: g.job.ID, Task: m.name(), Run: g.run, Worker: w.ID})
 	}
 }
 
--- a/lib/planner/pace.go
+++ b/lib/planner/pace.go
@@ -108,7 +108,8 @@
 	}
 	if w.pace != old {
 		w.paced = now
-		r.note(Note{Event: "pace", Worker: w.ID, Pace: w.pace, Reason: "tail of the serving tasks against its target", Tail: tail})
+		r.note(Note{Event: "pace", Worker: w.ID, Reason: "tail of the serving tasks against its target",
+			Fields: []any{"pace", w.pace, "tailShare", tail}})
 	}
 	r.orderPaces(now, w, tail > highTail)
 }
--- a/lib/planner/planner.go
+++ b/lib/planner/planner.go
@@ -88,15 +88,11 @@
 	Task   task.Name
 	Run    task.Run
 	Worker id.Worker
-	VM     id.VM
-	Wave   task.WaveNumber
 	Reason string
 	// Age is how long the subject has waited or run.
 	Age time.Duration
-	// Pace and Tail belong to decisions on a pace. Tail is the highest tail of
-	// the serving tasks as a share of its target.
-	Pace task.Percent
-	Tail float64
+	// Fields are further names and values, by turns.
+	Fields []any
 }
 
 // Changes is what a series of events led to.
--- a/lib/planner/wave.go
+++ b/lib/planner/wave.go
@@ -86,7 +86,7 @@
 	if !ok {
 		w = &wave{seen: now, vms: make(map[id.VM]*upkeep)}
 		r.waves[t.Number] = w
-		r.note(Note{Event: "wave", Wave: t.Number, Reason: "asked for"})
+		r.noteWave(t.Number, "asked for", 0)
 	}
 	w.Wave = t
 	for _, name := range t.VMs {
@@ -120,7 +120,7 @@
 	delete(r.dirtyWaves, n)
 	delete(r.completed, n)
 	r.finished = append(r.finished, n)
-	r.note(Note{Event: "wave", Wave: n, Reason: "withdrawn"})
+	r.noteWave(n, "withdrawn", 0)
 	r.markCleared()
 }
 
@@ -167,7 +167,7 @@
 	if v == nil || v.Up {
 		u.phase = over
 		r.touchWave(w)
-		r.note(Note{Event: "upkeep", Wave: w.Number, VM: name, Reason: "over", Age: now.Sub(u.begun)})
+		r.noteUpkeep(w.Number, name, "over", now.Sub(u.begun))
 	}
 }
 
@@ -198,7 +198,15 @@
 		u.phase = clearing
 		r.touchWave(w)
 	}
-	r.note(Note{Event: "upkeep", Wave: o.Wave, VM: o.VM, Reason: string(a), Age: now.Sub(u.asked)})
+	r.noteUpkeep(o.Wave, o.VM, string(a), now.Sub(u.asked))
+}
+
+func (r *Planner) noteWave(n task.WaveNumber, reason string, age time.Duration) {
+	r.note(Note{Event: "wave", Reason: reason, Age: age, Fields: []any{"wave", n}})
+}
+
+func (r *Planner) noteUpkeep(n task.WaveNumber, name id.VM, reason string, age time.Duration) {
+	r.note(Note{Event: "upkeep", Reason: reason, Age: age, Fields: []any{"wave", n, "vm", name}})
 }
 
 // Upkeeping reports whether a wave is not over. The list of VMs is needed
@@ -244,7 +252,7 @@
 		w := r.waves[n]
 		r.tendWave(now, w)
 		if w.isOver() {
-			r.note(Note{Event: "wave", Wave: n, Reason: "completed", Age: now.Sub(w.seen)})
+			r.noteWave(n, "completed", now.Sub(w.seen))
 			r.touchWave(w)
 			r.completed[n] = true
 			delete(r.waves, n)
@@ -277,7 +285,7 @@
 func (r *Planner) orderUpkeep(now time.Time, w *wave, name id.VM, u *upkeep) {
 	u.asked = now
 	r.upkeeps = append(r.upkeeps, Upkeep{VM: name, Wave: w.Number})
-	r.note(Note{Event: "upkeep", Wave: w.Number, VM: name, Reason: "ordered", Age: now.Sub(w.seen)})
+	r.noteUpkeep(w.Number, name, "ordered", now.Sub(w.seen))
 }
 
 // chooseVMs begins to clear VMs of a wave, those with the least work first.
@@ -289,7 +297,7 @@
 		if r.vms[name] == nil && (u.phase == waiting || u.phase == clearing) {
 			u.phase = over
 			r.touchWave(w)
-			r.note(Note{Event: "upkeep", Wave: w.Number, VM: name, Reason: "the VM has left the platform"})
+			r.noteUpkeep(w.Number, name, "the VM has left the platform", 0)
 		}
 		if u.phase == waiting && r.vms[name].Up {
 			candidates = append(candidates, name)
--- a/lib/planner/worker.go
+++ b/lib/planner/worker.go
@@ -96,6 +96,10 @@
 	if info.Draining && !w.Draining {
 		r.note(Note{Event: "workerDraining", Worker: w.ID})
 	}
+	if !w.listed || w.Capacity != info.Capacity {
+		r.note(Note{Event: "workerListed", Worker: w.ID, Fields: []any{"rack", info.Rack, "incarnation", info.Incarnation,
+			"capacity", task.OutlineResources(info.Capacity)}})
+	}
 	draining := info.Draining || w.Draining && w.Incarnation == info.Incarnation
 	w.Worker, w.listed = info, true
 	w.Draining = draining
@@ -215,7 +219,7 @@
 func (r *Planner) heardEnd(now time.Time, w *worker, e task.End) {
 	m := w.find(e.Task, e.Run)
 	if m == nil {
-		r.lateEnd(now, e)
+		r.lateEnd(now, w.ID, e)
 		return
 	}
 	switch e.How {
@@ -229,7 +233,7 @@
 }
 
 // lateEnd accepts the success of a run that was given up but not replaced.
-func (r *Planner) lateEnd(now time.Time, e task.End) {
+func (r *Planner) lateEnd(now time.Time, name id.Worker, e task.End) {
 	j := r.jobs[e.Task.Job]
 	if j == nil || e.How != task.Done || j.state.Ended() {
 		return
@@ -240,6 +244,7 @@
 		}
 		for _, g := range o.steps[e.Task.Step] {
 			if e.Task.Index >= g.first && e.Task.Index < g.first+g.tasks && g.run == e.Run && g.idle() {
+				r.note(Note{Event: "ended", Job: j.ID, Task: e.Task, Run: e.Run, Worker: name, Reason: string(e.How) + ": reported late"})
 				r.groupDone(now, g)
 			}
 		}
--- a/standin/cooperative/cooperative_test.go
+++ b/standin/cooperative/cooperative_test.go
@@ -105,6 +105,13 @@
 	for _, v := range w.Fleet.Violations() {
 		t.Error(v)
 	}
+	found, err := w.Audit()
+	if err != nil {
+		t.Error(err)
+	}
+	for _, f := range found {
+		t.Error("audit of the logs: " + f)
+	}
 }
 
 const second = time.Second
--- a/standin/cooperative/world.go
+++ b/standin/cooperative/world.go
@@ -12,6 +12,9 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"bronzewinch.dev/lib/logaudit"
+	"bronzewinch.dev/lib/logline"
 )
 
 // WorldConfig configures a World.
@@ -255,6 +258,33 @@
 	}
 }
 
+// Audit checks the decisions that the nodes have logged. It returns one text for
+// each finding.
+func (w *World) Audit() ([]string, error) {
+	var lines []logline.Line
+	for _, n := range w.Nodes {
+		f, err := os.Open(n.log.Name())
+		if err != nil {
+			return nil, err
+		}
+		some, err := logline.Read(n.Name, f)
+		_ = f.Close() // it was only read
+		if err != nil {
+			return nil, err
+		}
+		lines = append(lines, some...)
+	}
+	report := logaudit.Check(lines)
+	if report.Decisions == 0 {
+		return nil, fmt.Errorf("the logs in %s hold no decisions", w.config.Dir)
+	}
+	var found []string
+	for _, f := range report.Findings {
+		found = append(found, fmt.Sprintf("%s %s of job %s: %s", f.Time.Format("15:04:05.000"), f.Promise, f.Job, f.Reason))
+	}
+	return found, nil
+}
+
 // Close ends all processes that the world has started.
 func (w *World) Close() {
 	for _, n := range w.Nodes {
