Notice a settings file that changes without a signal

Cause: only SIGHUP made a node read its settings again; the platform also changes the file without one, so a node could keep seeds of nodes that are gone. A node now looks at the file's time and size each second.

Before: TestSettingsAreReadAgain failed. After: it passes; a file with a mistake leaves the earlier settings in force.

Only seeds change during the life of a process, as before.

--- a/bronzewinchd/platform.go
+++ b/bronzewinchd/platform.go
@@ -125,23 +125,56 @@
 		Server: server, Timer: clock})
 }
 
-// awaitStop returns when the node is told to stop. On SIGHUP it reads the
-// settings file again; a file with a mistake leaves the earlier one in force.
+// settingsPeriod is how often the settings file is looked at. It may change
+// without a signal, and its seeds may be three seconds old.
+const settingsPeriod = time.Second
+
+// fileState tells whether a file has changed.
+type fileState struct {
+	changed time.Time
+	size    int64
+}
+
+func stateOf(path string) fileState {
+	info, err := os.Stat(path)
+	if err != nil {
+		return fileState{} // the file is about to be replaced, or reading it tells
+	}
+	return fileState{info.ModTime(), info.Size()}
+}
+
+// awaitStop returns when the node is told to stop. On SIGHUP, and when the
+// settings file has changed, it reads the file again.
 func (n platformNode) awaitStop(ctx context.Context, reload <-chan os.Signal) {
+	path := os.Getenv(platform.SettingsVariable)
+	last := stateOf(path)
+	looks := timer.NewSystem().Every(settingsPeriod)
+	defer looks.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-reload:
+		case <-looks.C:
+			if stateOf(path) == last {
+				continue
+			}
 		}
-		s, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
-		if err != nil {
-			klog.ErrorS(err, "settings refused; the earlier ones stay in force", "event", "reload", "node", n.Settings.Node)
-			continue
-		}
-		n.Relay.Reseed(s.Seeds)
-		klog.InfoS("settings read again", "event", "reload", "node", s.Node, "seeds", s.Seeds)
+		last = stateOf(path)
+		n.reload(path)
+	}
+}
+
+// reload reads the settings file. A file with a mistake leaves the earlier
+// settings in force.
+func (n platformNode) reload(path string) {
+	s, err := platform.ReadSettings(path)
+	if err != nil {
+		klog.ErrorS(err, "settings refused; the earlier ones stay in force", "event", "reload", "node", n.Settings.Node)
+		return
 	}
+	n.Relay.Reseed(s.Seeds)
+	klog.InfoS("settings read again", "event", "reload", "node", s.Node, "seeds", s.Seeds)
 }
 
 // graceMargin is the part of the grace time that is left for the last steps of
--- a/standin/cooperative/cooperative_test.go
+++ b/standin/cooperative/cooperative_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -301,3 +302,30 @@
 	}
 	check(t, w)
 }
+
+// TestSettingsAreReadAgain guards against a settings file that changes without
+// a signal and is not noticed, and against a mistake in it that ends a node.
+func TestSettingsAreReadAgain(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	n := w.Nodes[0]
+	text, err := os.ReadFile(n.Settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, test := range []struct{ text, says string }{
+		{"node = ", "settings refused"},
+		{strings.Replace(string(text), "seeds = [", `seeds = ["127.0.0.1:1",`, 1), "settings read again"},
+	} {
+		if err := os.WriteFile(n.Settings, []byte(test.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		for limit := time.Now().Add(10 * second); !strings.Contains(n.Log(), test.says); time.Sleep(50 * time.Millisecond) {
+			if time.Now().After(limit) {
+				t.Fatalf("the log does not say %q", test.says)
+			}
+		}
+	}
+	if !n.IsReady() {
+		t.Error("the node is not ready")
+	}
+}
--- a/standin/cooperative/world.go
+++ b/standin/cooperative/world.go
@@ -63,10 +63,11 @@
 	Front, Ready string
 	// Store stands between the node and the store.
 	Store *Proxy
+	// Settings is the path of the settings file.
+	Settings string
 
-	settings string
-	log      *os.File
-	binary   string
+	log    *os.File
+	binary string
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -167,7 +168,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{Name: name, Store: p, binary: w.config.Binary, settings: filepath.Join(w.config.Dir, name+".toml")}
+	n := &Node{Name: name, Store: p, binary: w.config.Binary, Settings: filepath.Join(w.config.Dir, name+".toml")}
 	var control string
 	for _, a := range []*string{&n.Front, &n.Ready, &control} {
 		if *a, err = freeAddress(); err != nil {
@@ -185,7 +186,7 @@
 		"stop_ms = %d\nstatus_s = 120\nreclaim_ms = 2900\nremote_factor = 3\nrestore_ms = 600\nupkeep_s = %g\nlease_ms = 1000\n"+
 		"[platform]\naddress = %q\n[cloud]\naddress = %q\n",
 		n.Front, n.Ready, control, holdMax.Milliseconds(), stopTime.Milliseconds(), upkeepTime.Seconds(), p.Address(), w.cloud.Address())
-	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(n.Settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
 	n.log, err = os.OpenFile(filepath.Join(w.config.Dir, name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
@@ -200,7 +201,7 @@
 		return nil
 	}
 	c := exec.Command(n.binary, "-platform")
-	c.Env = append(os.Environ(), "BRONZEWINCH_BOOT="+n.settings)
+	c.Env = append(os.Environ(), "BRONZEWINCH_BOOT="+n.Settings)
 	c.Stdout, c.Stderr = n.log, n.log
 	if err := c.Start(); err != nil {
 		return err
@@ -231,6 +232,15 @@
 	return n.gone
 }
 
+// Log returns what the node has logged so far.
+func (n *Node) Log() string {
+	b, err := os.ReadFile(n.log.Name())
+	if err != nil {
+		return err.Error()
+	}
+	return string(b)
+}
+
 // IsReady asks a node whether it is ready.
 func (n *Node) IsReady() bool {
 	client := http.Client{Timeout: 500 * time.Millisecond}
