Show a job as running once one of its runs has ended

Cause: a job began with an answered start or a report that lists a run. When the answer was lost and the run was over before the next report, the job stayed pending and counted among those that wait. Found by a new table test of attempts; an end that a worker reports now begins the job.

--- a/lib/job/job.go
+++ b/lib/job/job.go
@@ -144,12 +144,6 @@
 	return p == Succeeded || p == Failed || p == Cancelled
 }
 
-// HoldsWorkers reports whether a job in phase p may hold resources on
-// workers.
-func (p Phase) HoldsWorkers() bool {
-	return p == Reserving || p == Committed || p == Running || p == Stopping
-}
-
 // Member is the part of a gang on one worker.
 type Member struct {
 	Worker    id.Worker      `json:"worker"`
--- /dev/null
+++ b/lib/planner/life_test.go
@@ -0,0 +1,150 @@
+package planner_test
+
+import (
+	"testing"
+	"time"
+
+	"bronzewinch.dev/lib/planner"
+	"bronzewinch.dev/lib/task"
+	"bronzewinch.dev/lib/unit"
+
+	"github.com/matryer/is"
+)
+
+// TestStopIsRepeated guards against a run that goes on because the order to stop
+// it was lost.
+func TestStopIsRepeated(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, 1)
+	start := place(s, single(1, task.Step{Tasks: 1}), 1)[0]
+	s.r.Answered(s.now, start, planner.Accepted)
+	is.NoErr(s.r.Cancel(s.now, start.Task.Job))
+	stop := s.r.Take().Orders[0]
+	is.Equal(stop.Kind, planner.Stop)
+	s.r.Answered(s.now, stop, planner.Unanswered)
+	s.now = s.now.Add(1100 * time.Millisecond)
+	s.r.Tick(s.now)
+	again := s.r.Take().Orders
+	is.Equal(len(again), 1)
+	is.Equal(again[0].Kind, planner.Stop)
+	s.r.Answered(s.now, again[0], planner.Accepted)
+	s.now = s.now.Add(1100 * time.Millisecond)
+	s.r.Tick(s.now)
+	is.Equal(len(s.r.Take().Orders), 0)
+}
+
+// TestNewsOfEarlierLife guards against a run on a worker that was started anew
+// and counts as gone because a late report or entry tells of the life before.
+func TestNewsOfEarlierLife(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		late func(s *sim, w task.Worker)
+	}{
+		{"report", func(s *sim, w task.Worker) {
+			s.r.Heard(s.now, s.now, task.Report{Worker: w.ID, Incarnation: w.Incarnation})
+		}},
+		{"entry of the list", func(s *sim, w task.Worker) { s.r.Listed(s.now, w) }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSim(t, 1, 1)
+			before := s.workers["w-00"].Worker
+			after := before
+			after.Incarnation = 2
+			s.r.Listed(s.now, after)
+			s.r.Heard(s.now, s.now, task.Report{Worker: after.ID, Incarnation: 2})
+			start := place(s, single(1, task.Step{Tasks: 1}), 1)[0]
+			is.Equal(start.Incarnation, task.Incarnation(2))
+			s.r.Answered(s.now, start, planner.Accepted)
+			s.now = s.now.Add(100 * time.Millisecond)
+			test.late(s, before)
+			s.r.Plan(s.now)
+			is.Equal(len(s.r.Take().Orders), 0)
+			is.True(s.r.Busy(after.ID))
+		})
+	}
+}
+
+// TestServicesAreApart guards against a task on a worker of another service.
+func TestServicesAreApart(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, 1)
+	other := s.workers["w-00"].Worker
+	other.ID, other.Service = "w-other", "other"
+	s.r.Listed(s.now, other)
+	s.r.Heard(s.now, s.now, task.Report{Worker: other.ID, Incarnation: 1})
+	orders := place(s, single(1, task.Step{Tasks: 16}), 1)
+	is.Equal(len(orders), 8)
+	for _, o := range orders {
+		is.Equal(o.Worker, s.workers["w-00"].ID)
+	}
+}
+
+// TestTicketOfEarlierLife guards against a start with a ticket that the worker
+// does not know any more.
+func TestTicketOfEarlierLife(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, 1)
+	s.r.Configure(planner.Rules{Queues: map[task.QueueName]task.Queue{"q1": {Name: "q1", Service: simService, Priority: 1, Attempts: 4,
+		Slack: 3, Advised: true}}})
+	s.submit(single(1, task.Step{Tasks: 1, Estimate: time.Second}), 1)
+	s.r.Plan(s.now)
+	asks := s.r.Take().Asks
+	is.Equal(len(asks), 1)
+	s.r.Advised(asks[0], []planner.Ticket{{Worker: "w-00", Value: "ticket"}}, s.now.Add(time.Minute), nil)
+	anew := s.workers["w-00"].Worker
+	anew.Incarnation = 2
+	s.r.Listed(s.now, anew)
+	s.r.Heard(s.now, s.now, task.Report{Worker: anew.ID, Incarnation: 2})
+	s.now = s.now.Add(2 * time.Second)
+	s.r.Plan(s.now)
+	next := s.r.Take()
+	is.Equal(len(next.Orders), 0)
+	is.Equal(len(next.Asks), 1)
+}
+
+// TestAttemptsAreCounted guards against failures that are forgotten with an
+// owner, counted for each member of a gang, or counted for tasks that serve.
+func TestAttemptsAreCounted(t *testing.T) {
+	whole := unit.Resources{Accelerators: 8, Cores: unit.Core}
+	for _, test := range []struct {
+		name     string
+		step     task.Step
+		restored int // failures that an earlier owner stored
+		runs     int // further runs, of which every member fails
+		want     task.State
+	}{
+		{"restored", task.Step{Tasks: 1}, 3, 1, task.Failed},
+		{"restored, one less", task.Step{Tasks: 1}, 2, 1, task.Running},
+		{"gang", task.Step{Tasks: 2, Gang: true, Demand: whole}, 0, 3, task.Running},
+		{"gang, one more", task.Step{Tasks: 2, Gang: true, Demand: whole}, 0, 4, task.Failed},
+		{"serving", task.Step{Tasks: 1, Service: true}, 0, 6, task.Running},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSim(t, 1, 6)
+			j := single(1, test.step)
+			j.Queue = simQueue(1) // four attempts
+			s.r.Restore(s.now, s.now, j, task.Progress{Job: j.ID, Occurrences: []task.OccurrenceProgress{{
+				Groups: []task.GroupProgress{{Run: task.Run(test.restored), Failures: test.restored}}}}})
+			s.r.Resume(s.now)
+			for range test.runs {
+				s.now = s.now.Add(10 * time.Second) // workers are tried again
+				for _, w := range s.workers {
+					s.report(w)
+				}
+				s.r.Plan(s.now)
+				orders := s.r.Take().Orders
+				is.Equal(len(orders), test.step.Tasks)
+				for _, o := range orders {
+					s.seq++
+					s.r.Heard(s.now, s.now, task.Report{Worker: o.Worker, Incarnation: 1, Ends: []task.End{
+						{Seq: s.seq, Task: o.Task, Run: o.Run, How: task.Faulted}}})
+				}
+			}
+			status, ok := s.r.Status(j.ID)
+			is.True(ok)
+			is.Equal(status.State, test.want)
+		})
+	}
+}
--- a/lib/planner/worker.go
+++ b/lib/planner/worker.go
@@ -222,6 +222,7 @@
 		r.lateEnd(now, w.ID, e)
 		return
 	}
+	r.begin(m.group.job) // the answer to the start may be lost
 	switch e.How {
 	case task.Done:
 		w.faults = nil
