Judge runs that stand still by the time of the report and the work they hold

Cause: a run was moved after 3.5 s without progress, counted to the time at which the report was asked for. Workers hold the call back for two seconds, so a run that stood still was left alone for up to six; and tasks of more than 350 s, whose progress rises by less than a hundredth in 3.5 s, were moved without end.

A report now carries the latest time at which it can have been made, also for a node that was suspended. A run may stand still for 1.9 s, a fifth of its expected time, or as long as its unsaved work took, whichever is longest.

Ruled out: 1.9 s and a fifth alone.

Three cases of TestStall failed before.

--- a/lib/controller/link.go
+++ b/lib/controller/link.go
@@ -270,6 +270,12 @@
 		l.target.Incarnation = report.Incarnation
 	}
 	l.clock, l.clockAt, l.told = report.Clock, clock.Now(), h.Acked
+	// An answer that arrives late, as to a node that was suspended, is no newer
+	// than the end of the wait.
+	report.AsOf = now.Add(h.Wait)
+	if l.clockAt.Before(report.AsOf) {
+		report.AsOf = l.clockAt
+	}
 	l.trusted, l.unheard = true, false
 	l.contact.Observe(nil)
 	e := &reportEvent{link: l, sent: now, report: report}
--- a/lib/planner/life_test.go
+++ b/lib/planner/life_test.go
@@ -148,3 +148,51 @@
 		})
 	}
 }
+
+// TestStall guards against runs that stand still and are left alone, and against
+// sound ones that are moved because their progress is coarse or a report old.
+func TestStall(t *testing.T) {
+	type look struct {
+		after   time.Duration // between the last report and this one
+		percent task.Percent
+	}
+	sec := time.Second
+	for _, test := range []struct {
+		name  string
+		step  task.Step
+		late  time.Duration // by which reports are older than their arrival
+		looks []look
+		moved bool
+	}{
+		{"stands still", task.Step{Estimate: 2500 * time.Millisecond}, 0, []look{{sec / 2, 10}, {2 * sec, 10}}, true},
+		{"never begins", task.Step{Estimate: 2500 * time.Millisecond}, 0, []look{{2 * sec, 0}}, true},
+		{"goes on", task.Step{Estimate: 2500 * time.Millisecond}, 0, []look{{2 * sec, 10}, {2 * sec, 11}, {2 * sec, 12}}, false},
+		{"long task", task.Step{Estimate: 5 * time.Minute}, 0, []look{{2 * sec, 0}, {2 * sec, 0}, {2 * sec, 0}, {2 * sec, 0}}, false},
+		{"long task that stands still", task.Step{Estimate: time.Minute}, 0, []look{{sec, 1}, {7 * sec, 1}, {6 * sec, 1}}, true},
+		{"much work done", task.Step{Estimate: 10 * sec}, 0, []look{{6 * sec, 60}, {3 * sec, 60}}, false},
+		{"much work done, long ago", task.Step{Estimate: 10 * sec}, 0, []look{{6 * sec, 60}, {3 * sec, 60}, {4 * sec, 60}}, true},
+		{"much work saved", task.Step{Estimate: 10 * sec, Checkpoints: true}, 0, []look{{6 * sec, 60}, {3 * sec, 60}}, true},
+		{"nearly over", task.Step{Estimate: 2500 * time.Millisecond}, 0, []look{{2 * sec, 100}, {2 * sec, 100}}, false},
+		{"old reports", task.Step{Estimate: 2500 * time.Millisecond}, 3 * sec, []look{{3 * sec, 0}, {sec, 0}}, false},
+		{"serves", task.Step{Service: true}, 0, []look{{2 * sec, 50}, {9 * sec, 50}}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSim(t, 1, 2)
+			test.step.Tasks = 1
+			start := place(s, single(1, test.step), 1)[0]
+			s.r.Answered(s.now, start, planner.Accepted)
+			moved := false
+			for _, l := range test.looks {
+				s.now = s.now.Add(l.after)
+				s.r.Granted(start.Worker, s.now)
+				s.r.Heard(s.now, s.now.Add(-2*sec), task.Report{Worker: start.Worker, Incarnation: 1, AsOf: s.now.Add(-test.late),
+					Active: []task.Active{{Task: start.Task, Run: start.Run, Percent: l.percent}}})
+				for _, o := range s.r.Take().Orders {
+					moved = moved || o.Kind == planner.Stop
+				}
+			}
+			is.Equal(moved, test.moved)
+		})
+	}
+}
--- a/lib/planner/worker.go
+++ b/lib/planner/worker.go
@@ -25,8 +25,13 @@
 	// barTime is how long a failing worker is out of placement before it is
 	// tried again.
 	barTime = 8 * time.Second
-	// stallTime is how long a run may show no progress before it is moved.
-	stallTime = 3500 * time.Millisecond
+	// stallTime is the least time without progress after which a run is moved.
+	// Workers report every two seconds.
+	stallTime = 1900 * time.Millisecond
+	// stallShare is the part of its expected time that a run may show no
+	// progress. Progress comes in hundredths, and on slow workers or away from its
+	// rack a run takes many times as long.
+	stallShare = 0.2
 )
 
 type worker struct {
@@ -159,10 +164,14 @@
 		r.note(Note{Event: "workerDraining", Worker: w.ID, Reason: "told by the worker", Age: rep.Remaining})
 		r.drain(now, w)
 	}
+	asOf := rep.AsOf
+	if asOf.IsZero() {
+		asOf = sent
+	}
 	listed := make(map[task.Name]struct{}, len(rep.Active))
 	for _, a := range rep.Active {
 		listed[a.Task] = struct{}{}
-		r.heardActive(now, sent, w, a)
+		r.heardActive(now, asOf, w, a)
 	}
 	for _, e := range rep.Ends {
 		r.heardEnd(now, w, e)
@@ -184,7 +193,19 @@
 	}
 }
 
-func (r *Planner) heardActive(now, sent time.Time, w *worker, a task.Active) {
+// patience is how long a run may show no progress. It is at least the work that
+// a new start would have to do again: when the run goes on after all, at most
+// twice the time is lost that the better choice would have taken.
+func (r *Planner) patience(m *member) time.Duration {
+	s := m.group.spec()
+	share := stallShare
+	if !s.Checkpoints {
+		share = max(share, float64(m.percent)/100)
+	}
+	return max(stallTime, time.Duration(share*float64(r.expected(m.group.job, *s))))
+}
+
+func (r *Planner) heardActive(now, asOf time.Time, w *worker, a task.Active) {
 	m := w.find(a.Task, a.Run)
 	if m == nil {
 		r.orders = append(r.orders, Order{Kind: Stop, Worker: w.ID, Incarnation: w.Incarnation, Task: a.Task, Run: a.Run,
@@ -199,9 +220,9 @@
 		g.saved = a.Saved
 	}
 	if a.Percent > m.percent || m.advanced.IsZero() {
-		m.percent, m.advanced = a.Percent, sent
+		m.percent, m.advanced = a.Percent, asOf
 	}
-	if !m.stop && sent.Sub(m.advanced) > stallTime && a.Percent < 100 && g.spec().Advances() {
+	if !m.stop && asOf.Sub(m.advanced) > r.patience(m) && a.Percent < 100 && g.spec().Advances() {
 		w.barred = now.Add(barTime)
 		g.avoid = append(g.avoid, w.ID)
 		r.stopGroup(now, g, "the run makes no progress")
--- a/lib/task/task.go
+++ b/lib/task/task.go
@@ -263,8 +263,11 @@
 	Worker      id.Worker
 	Incarnation Incarnation
 	Clock       ClockMillis
-	Active      []Active
-	Ends        []End
+	// AsOf is the latest time at which the worker can have made the report, on
+	// the clock of the node that asked for it.
+	AsOf   time.Time
+	Active []Active
+	Ends   []End
 	// Draining and Remaining tell that the worker leaves, and the least time
 	// until then.
 	Draining  bool
