Give work to a worker that keeps its id over the upkeep of its VM

Cause: a worker of a VM that had its upkeep got no starts while the last list of VMs did not name it. The list is read only while a wave is open, so a worker that lives again under its id stayed without work when the wave ended before its entry came back. Found by reading; the next incarnation now takes starts again.

Before: TestWorkerKeepsItsName failed. After: it passes.

--- a/lib/planner/planner.go
+++ b/lib/planner/planner.go
@@ -124,7 +124,7 @@
 	waves   map[task.WaveNumber]*wave
 	// completed are the waves that the operators have not removed yet.
 	completed map[task.WaveNumber]bool
-	vms       map[id.VM]*vm // the platform's list, or nil while none has been read
+	vms       map[id.VM]*task.VM // the platform's list, or nil while none has been read
 
 	fresh   []task.Job
 	dirty   map[id.Job]*job
--- a/lib/planner/wave.go
+++ b/lib/planner/wave.go
@@ -71,12 +71,6 @@
 	doubt bool      // an order was not answered
 }
 
-// vm is a VM of the platform's list.
-type vm struct {
-	task.VM
-	heard time.Time // when the list was asked for
-}
-
 // AddWave takes over a wave that the operators ask for.
 func (r *Planner) AddWave(now time.Time, t task.Wave) {
 	if r.completed[t.Number] {
@@ -143,9 +137,9 @@
 
 // ListedVMs takes over the platform's list of VMs, which was asked for at sent.
 func (r *Planner) ListedVMs(now, sent time.Time, list []task.VM) {
-	r.vms = make(map[id.VM]*vm, len(list))
+	r.vms = make(map[id.VM]*task.VM, len(list))
 	for _, v := range list {
-		r.vms[v.Name] = &vm{VM: v, heard: sent}
+		r.vms[v.Name] = &v
 	}
 	for _, w := range r.waves {
 		for name, u := range w.vms {
--- a/lib/planner/wave_test.go
+++ b/lib/planner/wave_test.go
@@ -302,6 +302,32 @@
 	is.True(!s.r.Upkeeping())
 }
 
+// TestWorkerKeepsItsName guards against a worker that gets no work after its
+// upkeep because it lives again under the id that it had, and the last list of
+// VMs did not name it yet.
+func TestWorkerKeepsItsName(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, 1)
+	s.r.AddWave(s.now, task.Wave{Number: firstWave, VMs: []id.VM{vmName(0)}, AtOnce: 1})
+	list := func(after time.Duration, worker id.Worker) {
+		s.now = s.now.Add(after)
+		s.r.ListedVMs(s.now, s.now, []task.VM{{Name: vmName(0), Up: true, Worker: worker}})
+		s.r.Tick(s.now)
+	}
+	list(time.Minute, "w-00")
+	orders := s.r.Take().Upkeeps
+	is.Equal(len(orders), 1)
+	s.r.UpkeepAnswered(s.now, orders[0], planner.Begun)
+	list(time.Second, "")
+	is.True(!s.r.Upkeeping())
+	anew := s.workers["w-00"].Worker
+	anew.Incarnation = 2
+	s.r.Listed(s.now, anew)
+	s.r.Heard(s.now, s.now, task.Report{Worker: anew.ID, Incarnation: 2})
+	s.r.Tick(s.now)
+	is.Equal(len(place(s, single(1, task.Step{Tasks: 1}), 1)), 1)
+}
+
 // TestWithdrawnWave guards against upkeep that the operators no longer want.
 func TestWithdrawnWave(t *testing.T) {
 	is := is.New(t)
--- a/lib/planner/worker.go
+++ b/lib/planner/worker.go
@@ -131,6 +131,7 @@
 func (r *Planner) reborn(now time.Time, w *worker, born task.Incarnation) {
 	if w.Incarnation != 0 && w.Incarnation != born {
 		w.Draining, w.faults, w.barred, w.doubts = false, nil, time.Time{}, nil
+		w.cleared, w.vm = false, ""
 	}
 	w.Incarnation = born
 	for _, m := range slices.Clone(w.members) {
