--- a/lib/planner/plan.go
+++ b/lib/planner/plan.go
@@ -224,7 +224,8 @@
 // yields reports whether a group waits to leave headroom. It answers a load of
 // nearly all accelerators with bursts of the first priority.
 func (p *pass) yields(g *group) bool {
-	if g.spec().Room().Accelerators == 0 || g.job.queue.Priority == 0 || g.spec().Service || p.late(g.job) || p.now.Sub(p.r.urgent) > headroomTime {
+	s := g.spec()
+	if s.Room().Accelerators == 0 || g.job.queue.Priority == 0 || s.Service || p.late(g.job) || p.now.Sub(p.r.urgent) > headroomTime {
 		return false
 	}
 	var free, all unit.Accelerators
@@ -232,7 +233,7 @@
 		free += max(0, m.free.Accelerators)
 		all += m.Capacity.Accelerators
 	}
-	free -= g.spec().Room().Accelerators * unit.Accelerators(g.tasks)
+	free -= s.Room().Accelerators * unit.Accelerators(g.tasks)
 	return float64(free) < headroom*float64(all)
 }
 
@@ -440,7 +441,8 @@
 		return nil
 	}
 	slices.SortStableFunc(choices, func(a, b choice) int {
-		return cmp.Or(cmp.Compare(a.mixes, b.mixes), cmp.Compare(a.free.Accelerators, b.free.Accelerators), cmp.Compare(a.free.Cores, b.free.Cores))
+		return cmp.Or(cmp.Compare(a.mixes, b.mixes), cmp.Compare(a.free.Accelerators, b.free.Accelerators),
+			cmp.Compare(a.free.Cores, b.free.Cores))
 	})
 	placed := make([]*room, 0, g.tasks)
 	for _, c := range choices {
--- a/lib/relay/relay.go
+++ b/lib/relay/relay.go
@@ -298,8 +298,8 @@
 	g.peers[h.Address] = now
 	period := min(helloMost, max(helloPeriod, helloShare*time.Duration(len(g.peers))))
 	g.mu.Unlock()
-	return HelloReply{Node: g.config.Node, Idle: g.config.Owners.Idle(), Serving: g.config.Controller.Hello(h.Node), Owner: g.config.Owners.Owner(), Peers: g.known(now, replyPeers),
-		Period: period}, nil
+	return HelloReply{Node: g.config.Node, Idle: g.config.Owners.Idle(), Serving: g.config.Controller.Hello(h.Node),
+		Owner: g.config.Owners.Owner(), Peers: g.known(now, replyPeers), Period: period}, nil
 }
 
 // peerTime is how long a node that is not heard of counts as a peer.
