Forget greetings of earlier terms, and ask the store twice before handing over

A term begins without greetings. The owner's own question to the store may take 0.6 s instead of 0.3, and a refusal counts when it is repeated after 0.1 s.

Ruled out: the store turning the new owner away; its transactions succeeded.

--- a/lib/controller/controller.go
+++ b/lib/controller/controller.go
@@ -264,6 +264,9 @@
 		upkeeps: pipe.NewQueue[planner.Upkeep](upkeepLimit),
 		links:   shard.NewMap[id.Worker, *link](), commit: term.Commit, over: make(chan struct{}),
 	}
+	d.mu.Lock()
+	clear(d.heard) // other nodes may have greeted an earlier term of this node
+	d.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
 	defer s.wg.Wait()
 	defer cancel()
--- a/lib/controller/controller_test.go
+++ b/lib/controller/controller_test.go
@@ -194,3 +194,17 @@
 	is.Equal(workers.started[0].Run, task.Run(2))
 	is.Equal(workers.stopped, 1)
 }
+
+// TestOldGreetingsDoNotEndNewTerm guards against an owner that gives up as cut
+// off because other nodes greeted it in an earlier term and not yet in this one.
+func TestOldGreetingsDoNotEndNewTerm(t *testing.T) {
+	is := is.New(t)
+	store, workers := newFakeStore(), newFakeWorkers()
+	d := newController(store, workers, fakeLists{workers: testWorkers()})
+	d.Hello("other")
+	time.Sleep(2200 * time.Millisecond) // greetings older than two seconds make an owner doubt
+	own := own(t, d, store, workers)
+	time.Sleep(500 * time.Millisecond)
+	is.Equal(own.Owner().Fence, task.Fence(1))
+	is.True(d.Hello(""))
+}
--- a/lib/relay/handover.go
+++ b/lib/relay/handover.go
@@ -9,6 +9,7 @@
 	"bronzewinch.dev/lib/id"
 	"bronzewinch.dev/lib/peer"
 	"bronzewinch.dev/lib/task"
+	"bronzewinch.dev/lib/timer"
 
 	"k8s.io/klog/v2"
 )
@@ -16,10 +17,15 @@
 const (
 	// reachTimeout is the time in which the owner's own question to the metadata
 	// store has to be answered, and peerTimeout the one for other nodes. The store
-	// answers within 4 ms, and on slow days within 240 ms. Other nodes get less,
-	// so that a store that is slow for all makes no owner hand over.
-	reachTimeout = 300 * time.Millisecond
+	// answers within 4 ms, and on slow days within 240 ms, more or less. Other
+	// nodes get much less, so that a store that is slow for all makes no owner
+	// hand over: the next one would need more than a second to be at work.
+	reachTimeout = 600 * time.Millisecond
 	peerTimeout  = 200 * time.Millisecond
+	// reachTries and reachPause keep an owner that is refused once, as by a rate
+	// that is used up for a moment, from handing over.
+	reachTries = 2
+	reachPause = 100 * time.Millisecond
 	// handOverPause is the pause between attempts to hand over. Each asks the
 	// store from some nodes, and calls have a price.
 	handOverPause = 500 * time.Millisecond
@@ -62,11 +68,7 @@
 	g.tried = now
 	var wg sync.WaitGroup
 	var own bool
-	wg.Go(func() {
-		ctx, cancel := context.WithTimeout(ctx, reachTimeout)
-		defer cancel()
-		own = g.config.Owners.Reaches(ctx)
-	})
+	wg.Go(func() { own = g.reaches(ctx) })
 	successor := g.reaching(ctx)
 	wg.Wait()
 	if own || successor == "" || ctx.Err() != nil {
@@ -85,6 +87,21 @@
 	}
 }
 
+// reaches reports whether this node reaches the metadata store.
+func (g *Relay) reaches(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
+	defer cancel()
+	for range reachTries {
+		if g.config.Owners.Reaches(ctx) {
+			return true
+		}
+		if timer.Sleep(ctx, g.config.Timer, reachPause) != nil {
+			return false
+		}
+	}
+	return false
+}
+
 // reaching returns the address of another node that reaches the metadata store,
 // or an empty text.
 func (g *Relay) reaching(ctx context.Context) string {
