--- a/lib/planner/pace.go
+++ b/lib/planner/pace.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"slices"
 	"time"
 
 	"bronzewinch.dev/lib/id"
@@ -47,22 +48,12 @@
 
 // serves reports whether a task whose tail has a target is on the worker.
 func (w *worker) serves() bool {
-	for _, m := range w.members {
-		if m.group.spec().TailTarget > 0 {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(w.members, func(m *member) bool { return m.group.spec().TailTarget > 0 })
 }
 
 // fills reports whether a task that fills is on the worker.
 func (w *worker) fills() bool {
-	for _, m := range w.members {
-		if m.group.spec().Fills {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(w.members, func(m *member) bool { return m.group.spec().Fills })
 }
 
 // tail is the highest tail of the worker's serving tasks as a share of its target.
--- a/lib/planner/planner.go
+++ b/lib/planner/planner.go
@@ -5,6 +5,8 @@
 package planner
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"bronzewinch.dev/lib/id"
@@ -165,7 +167,7 @@
 	for _, j := range r.dirty {
 		c.Progress = append(c.Progress, j.progress())
 	}
-	for _, n := range sortedKeys(r.dirtyWaves) {
+	for _, n := range slices.Sorted(maps.Keys(r.dirtyWaves)) {
 		c.Waves = append(c.Waves, r.dirtyWaves[n].progress())
 	}
 	c.Finished, c.Upkeeps = r.finished, r.upkeeps
--- a/lib/planner/wave.go
+++ b/lib/planner/wave.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -98,7 +99,7 @@
 		asked[t.Number] = true
 		r.AddWave(now, t)
 	}
-	for _, n := range append(sortedKeys(r.waves), sortedKeys(r.completed)...) {
+	for _, n := range append(slices.Sorted(maps.Keys(r.waves)), slices.Sorted(maps.Keys(r.completed))...) {
 		if !asked[n] {
 			r.DropWave(n)
 		}
@@ -242,7 +243,7 @@
 	if r.vms == nil || now.Sub(r.resumed) < r.config.Handover+handoverSlack {
 		return // an earlier owner may have given orders just now
 	}
-	for _, n := range sortedKeys(r.waves) {
+	for _, n := range slices.Sorted(maps.Keys(r.waves)) {
 		w := r.waves[n]
 		r.tendWave(now, w)
 		if w.isOver() {
@@ -258,7 +259,7 @@
 func (r *Planner) tendWave(now time.Time, w *wave) {
 	r.chooseVMs(now, w)
 	patience := w.patience(now, r.config.Upkeep+cycleSlack)
-	for _, name := range sortedKeys(w.vms) {
+	for _, name := range slices.Sorted(maps.Keys(w.vms)) {
 		u := w.vms[name]
 		switch u.phase {
 		case clearing:
@@ -286,7 +287,7 @@
 // VMs that left the platform are over.
 func (r *Planner) chooseVMs(now time.Time, w *wave) {
 	var candidates []id.VM
-	for _, name := range sortedKeys(w.vms) {
+	for _, name := range slices.Sorted(maps.Keys(w.vms)) {
 		u := w.vms[name]
 		if r.vms[name] == nil && (u.phase == waiting || u.phase == clearing) {
 			u.phase = over
@@ -375,13 +376,3 @@
 	}
 	return true
 }
-
-// sortedKeys returns the keys of a map in order, so that decisions repeat.
-func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
-	keys := make([]K, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
