Log incarnations of workers, and runs without a record beside another run

Cause: the logs could not distinguish the hypotheses about a task that ran twice. Lines about runs did not name the worker's incarnation, a restart under the same id had no line, and the stop of a run without a record did not tell whether another run of the task was in progress.

Change: start, stop, ended and restored carry the incarnation, a restart has the event workerRestarted, and the stop names the run that the owner has on record. The audit reports such a stop as two runs of one task. The lookup of a task's group moves into findGroup, which handleLateEnd uses too.

Ruled out: a metric of its own; bronzewinch_decisions_total counts the event.

--- a/lib/logaudit/logaudit.go
+++ b/lib/logaudit/logaudit.go
@@ -23,7 +23,8 @@
 const (
 	// RunOnce: no task starts while one of its runs is present, after one of its
 	// runs has succeeded, or with a run number that is not higher than all
-	// earlier ones.
+	// earlier ones. No worker reports a run while another run of its task is
+	// present.
 	RunOnce Invariant = "once"
 	// Attempts: no task starts after it has failed the number of times that its
 	// queue allows.
@@ -202,6 +203,8 @@
 		}
 	case "ended":
 		a.runEnded(l)
+	case "stop":
+		a.runStopped(l)
 	case "completed", "failed", "cancelled":
 		a.jobEnded(l)
 	}
@@ -341,6 +344,19 @@
 	}
 }
 
+// runStopped checks a run that a worker reported without a record: no other run of
+// its task may be in progress.
+func (a *auditor) runStopped(l decisionLine) {
+	other := l.Field("recordedWorker")
+	if other == "" {
+		return
+	}
+	if _, _, name, run, ok := a.lookupTask(l); ok {
+		a.check(l, RunOnce, name.Job, false, false, "run %d of task %s is active on %s while run %s is present on %s", run, name,
+			l.Field("worker"), l.Field("recordedRun"), other)
+	}
+}
+
 func (a *auditor) jobEnded(l decisionLine) {
 	name := id.Job(l.Field("job"))
 	j := a.jobs[name]
--- a/lib/planner/job.go
+++ b/lib/planner/job.go
@@ -232,7 +232,7 @@
 		m.stopRequested, m.stopSentAt, m.confirmedAt = true, now, time.Time{}
 		p.enqueueOrder(now, Stop, m)
 		p.logDecision(Decision{Event: "stop", Job: g.job.ID, Task: m.taskName(), Run: g.run, Worker: m.worker.ID, Reason: reason,
-			Age: now.Sub(g.startedAt)})
+			Age: now.Sub(g.startedAt), Fields: []any{"incarnation", m.incarnation}})
 	}
 }
 
@@ -322,7 +322,8 @@
 			confirmedAt: now, progressedAt: now, pace: unknownPace}
 		g.members = append(g.members, m)
 		w.addMember(m)
-		p.logDecision(Decision{Event: "restored", Job: g.job.ID, Task: m.taskName(), Run: g.run, Worker: w.ID})
+		p.logDecision(Decision{Event: "restored", Job: g.job.ID, Task: m.taskName(), Run: g.run, Worker: w.ID,
+			Fields: []any{"incarnation", m.incarnation}})
 	}
 }
 
--- a/lib/planner/plan.go
+++ b/lib/planner/plan.go
@@ -279,7 +279,7 @@
 		ps.planner.enqueueOrder(ps.now, Start, m)
 		ps.planner.updateColocation(ps.now, c.worker)
 		ps.planner.logDecision(Decision{Event: "start", Job: g.job.ID, Task: m.taskName(), Run: g.run, Worker: c.ID,
-			Age: ps.now.Sub(g.readyAt)})
+			Age: ps.now.Sub(g.readyAt), Fields: []any{"incarnation", m.incarnation}})
 	}
 	ps.planner.markDirty(g.job)
 }
--- a/lib/planner/worker.go
+++ b/lib/planner/worker.go
@@ -134,6 +134,8 @@
 // setIncarnation sets the incarnation of a worker, and ends the runs of earlier ones.
 func (p *Planner) setIncarnation(now time.Time, w *worker, incarnation task.Incarnation) {
 	if w.Incarnation != 0 && w.Incarnation != incarnation {
+		p.logDecision(Decision{Event: "workerRestarted", Worker: w.ID, Fields: []any{"incarnation", incarnation,
+			"previousIncarnation", w.Incarnation, "runs", len(w.members)}})
 		w.Draining, w.failedJobs, w.barredUntil, w.unconfirmedStarts = false, nil, time.Time{}, nil
 		w.reservedForUpkeep, w.vm = false, ""
 	}
@@ -218,7 +220,9 @@
 	if m == nil {
 		p.orders = append(p.orders, Order{Kind: Stop, Worker: w.ID, Incarnation: w.Incarnation, Task: a.Task, Run: a.Run,
 			Issued: now})
-		p.logDecision(Decision{Event: "stop", Job: a.Task.Job, Task: a.Task, Run: a.Run, Worker: w.ID, Reason: "no record of this run"})
+		recordedRun, recordedWorker := p.recordedRun(a.Task)
+		p.logDecision(Decision{Event: "stop", Job: a.Task.Job, Task: a.Task, Run: a.Run, Worker: w.ID, Reason: "no record of this run",
+			Fields: []any{"incarnation", w.Incarnation, "recordedRun", recordedRun, "recordedWorker", recordedWorker}})
 		return
 	}
 	g := m.group
@@ -237,6 +241,40 @@
 	}
 }
 
+// recordedRun returns the number of the last run of a task, and its worker while it is
+// in progress.
+func (p *Planner) recordedRun(name task.Name) (task.RunNumber, id.Worker) {
+	g := p.findGroup(name)
+	if g == nil {
+		return 0, ""
+	}
+	for _, m := range g.members {
+		if m.index == name.Index {
+			return g.run, m.worker.ID
+		}
+	}
+	return g.run, ""
+}
+
+// findGroup returns the group of a task, or nil if its occurrence is not open.
+func (p *Planner) findGroup(name task.Name) *group {
+	j := p.jobs[name.Job]
+	if j == nil {
+		return nil
+	}
+	for _, o := range j.openOccurrences {
+		if o.number != name.Occurrence || name.Step >= len(o.steps) {
+			continue
+		}
+		for _, g := range o.steps[name.Step] {
+			if name.Index >= g.firstIndex && name.Index < g.firstIndex+g.size {
+				return g
+			}
+		}
+	}
+	return nil
+}
+
 // markStarted records that the first task of a job has started.
 func (p *Planner) markStarted(j *job) {
 	if !j.started {
@@ -265,22 +303,13 @@
 // handleLateEnd accepts the success of a run that the planner has already ended, if
 // its group has not started again.
 func (p *Planner) handleLateEnd(now time.Time, name id.Worker, e task.EndedRun) {
-	j := p.jobs[e.Task.Job]
-	if j == nil || e.Reason != task.EndDone || j.state.Ended() {
+	g := p.findGroup(e.Task)
+	if g == nil || e.Reason != task.EndDone || g.job.state.Ended() || g.run != e.Run || !g.idle() {
 		return
 	}
-	for _, o := range j.openOccurrences {
-		if o.number != e.Task.Occurrence || e.Task.Step >= len(o.steps) {
-			continue
-		}
-		for _, g := range o.steps[e.Task.Step] {
-			if e.Task.Index >= g.firstIndex && e.Task.Index < g.firstIndex+g.size && g.run == e.Run && g.idle() {
-				p.logDecision(Decision{Event: "ended", Job: j.ID, Task: e.Task, Run: e.Run, Worker: name,
-					Reason: string(e.Reason) + ": reported late"})
-				p.completeGroup(now, g)
-			}
-		}
-	}
+	p.logDecision(Decision{Event: "ended", Job: g.job.ID, Task: e.Task, Run: e.Run, Worker: name,
+		Reason: string(e.Reason) + ": reported late"})
+	p.completeGroup(now, g)
 }
 
 // countFailure counts a failed run against its worker, once for each job, and bars
@@ -308,7 +337,7 @@
 	g.members = slices.DeleteFunc(g.members, func(other *member) bool { return other == m })
 	p.markDirty(j)
 	p.logDecision(Decision{Event: "ended", Job: j.ID, Task: m.taskName(), Run: g.run, Worker: m.worker.ID,
-		Reason: string(endReason) + ": " + reason, Age: now.Sub(g.startedAt)})
+		Reason: string(endReason) + ": " + reason, Age: now.Sub(g.startedAt), Fields: []any{"incarnation", m.incarnation}})
 	if checkpoint != "" {
 		g.checkpoint = checkpoint
 	}
