Add failing tests for calls that outlive the incarnation they were sent to

Cause: a task can run twice at the same time. A worker that restarts under its id carries out a start that was sent to its former incarnation; the owner counts the runs of that incarnation as lost when it learns of the restart, and starts the task again while the new incarnation runs it. A start that was given up after its lease can likewise be carried out once the worker has a lease again, because it has the same fence as current calls.

Ruled out: a fault of the stop that follows.

--- a/lib/controller/fake_test.go
+++ b/lib/controller/fake_test.go
@@ -181,6 +181,9 @@
 	stopped  int
 	// startResults are the results of the next starts: no answer, or a rejection.
 	startResults []planner.OrderResult
+	incarnation  task.Incarnation         // in reports, if it is not that of the target
+	polls        []controller.PollRequest // all polls so far
+	startFence   task.Fence               // highest fence of a start
 }
 
 func newFakeWorkers() *fakeWorkers {
@@ -215,6 +218,7 @@
 
 func (w *fakeWorkers) Poll(ctx context.Context, t controller.Target, req controller.PollRequest) (task.Report, error) {
 	w.mu.Lock()
+	w.polls = append(w.polls, req)
 	w.acked = max(w.acked, req.Acked)
 	w.ends[t.Worker] = slices.DeleteFunc(w.ends[t.Worker], func(e task.EndedRun) bool { return e.Seq <= req.Acked })
 	w.notify()
@@ -237,15 +241,22 @@
 	for i := range w.runs[t.Worker] {
 		w.runs[t.Worker][i].Percent++
 	}
-	return task.Report{Worker: t.Worker, Incarnation: t.Incarnation, Clock: 1000,
+	incarnation := t.Incarnation
+	if w.incarnation != 0 {
+		incarnation = w.incarnation
+	}
+	return task.Report{Worker: t.Worker, Incarnation: incarnation, Clock: 1000,
 		Active: slices.Clone(w.runs[t.Worker]), Ends: slices.Clone(w.ends[t.Worker])}, nil
 }
 
-func (w *fakeWorkers) SendOrder(_ context.Context, t controller.Target, o planner.Order, _ task.Fence,
+func (w *fakeWorkers) SendOrder(_ context.Context, t controller.Target, o planner.Order, fence task.Fence,
 	_ task.ClockMillis) (planner.OrderResult, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	defer w.notify()
+	if o.Kind == planner.Start {
+		w.startFence = max(w.startFence, fence)
+	}
 	if o.Kind == planner.Start && len(w.startResults) > 0 {
 		next := w.startResults[0]
 		w.startResults = w.startResults[1:]
--- /dev/null
+++ b/lib/controller/link_test.go
@@ -0,0 +1,78 @@
+package controller_test
+
+import (
+	"testing"
+
+	"bronzewinch.dev/lib/controller"
+	"bronzewinch.dev/lib/planner"
+	"bronzewinch.dev/lib/task"
+
+	"github.com/matryer/is"
+)
+
+// TestUnansweredStartIsFenced guards against a start that is carried out after it was
+// given up: the worker's next report must be requested under a higher fence.
+func TestUnansweredStartIsFenced(t *testing.T) {
+	is := is.New(t)
+	workers := newFakeWorkers()
+	workers.startResults = []planner.OrderResult{planner.Unanswered, planner.Unanswered, planner.Unanswered}
+	c := serve(t, newFakeStore(), workers)
+	is.Equal(c.submit(jobA).Outcome, controller.OK)
+	workers.await(t, "the stop", func() bool { return workers.stopped == 1 })
+	workers.mu.Lock()
+	unanswered, polls := workers.startFence, len(workers.polls)
+	workers.mu.Unlock()
+	workers.await(t, "the next report", func() bool { return len(workers.polls) > polls })
+	workers.mu.Lock()
+	defer workers.mu.Unlock()
+	is.True(workers.polls[polls].Fence > unanswered)
+}
+
+// TestCallsToEarlierIncarnationAreFenced guards against a call to a worker that is carried
+// out after the worker has restarted: a report of the new incarnation counts only if it
+// was requested under a higher fence than all earlier calls.
+func TestCallsToEarlierIncarnationAreFenced(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		restart func(lists fakeLists, restarted task.Worker)
+	}{
+		{"restart seen in a report", func(fakeLists, task.Worker) {}},
+		{"restart seen in the list", func(lists fakeLists, restarted task.Worker) {
+			lists.changes <- controller.Update{Version: 2, Workers: []task.Worker{restarted}}
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			workers := newFakeWorkers()
+			lists := fakeLists{workers: testWorkers(), changes: make(chan controller.Update)}
+			c := serveWithLists(t, newFakeStore(), workers, lists)
+			is.Equal(c.submit(jobA).Outcome, controller.OK)
+			workers.await(t, "the start", func() bool { return len(workers.started) == 1 })
+			restarted := testWorkers()[0]
+			restarted.Incarnation++
+			workers.mu.Lock()
+			workers.incarnation, workers.runs[restarted.ID] = restarted.Incarnation, nil
+			highest := workers.startFence
+			for _, p := range workers.polls {
+				highest = max(highest, p.Fence)
+			}
+			polls := len(workers.polls)
+			workers.notify() // ends the poll in progress
+			workers.mu.Unlock()
+			test.restart(lists, restarted)
+			workers.await(t, "the second start", func() bool { return len(workers.started) == 2 })
+			workers.mu.Lock()
+			defer workers.mu.Unlock()
+			first := -1
+			for i, p := range workers.polls[polls:] {
+				if p.Fence > highest {
+					first = polls + i
+					break
+				}
+			}
+			is.True(first >= 0) // polled under a higher fence before the task started again
+			is.Equal(workers.polls[first].Acked, task.EndSeq(0))
+			is.Equal(workers.polls[first].Until, task.ClockMillis(0))
+		})
+	}
+}
