Keep a run that a restarted worker carries out, and start no second one

Cause: the owner ended all runs of the former incarnation when the list or a report showed a restart, and started their tasks again in the same pass.

A run that it lists is adopted: its record moves to the new incarnation, and a stop that was requested is sent again. If the worker does not answer, the run counts as present until its start can no longer be carried out and its lease has expired. A restarted worker gets no starts before its first report.

Ruled out: ending such runs at once when the previous incarnation had reported them; a duplicate of the start may still arrive.

TestRestartedWorker expected a start on the list entry alone, which is the fault; it now expects none before the first report, and one after.

--- a/lib/planner/planner_test.go
+++ b/lib/planner/planner_test.go
@@ -184,6 +184,9 @@
 	restarted.Incarnation = 2
 	s.planner.UpdateWorker(s.now, restarted)
 	s.planner.Plan(s.now)
+	is.Equal(len(s.planner.TakeChanges().Orders), 0) // the new incarnation may run it until it reports
+	s.planner.HandleReport(s.now, s.now, task.Report{Worker: first.Worker, Incarnation: 2})
+	s.planner.Plan(s.now)
 	again := s.planner.TakeChanges().Orders
 	is.Equal(len(again), 1)
 	is.Equal(again[0].Incarnation, task.Incarnation(2))
--- a/lib/planner/worker.go
+++ b/lib/planner/worker.go
@@ -21,6 +21,9 @@
 	// between them, after which a worker is barred. One run in twenty fails by a fault
 	// of its task, so two failures in a row most likely have their cause in the worker.
 	failuresToBar = 2
+	// maxCallDelay bounds how long after it was sent a worker may carry out a call that it
+	// did not answer. The platform delays calls by up to 12 s.
+	maxCallDelay = 15 * time.Second
 	// stopRetryInterval is the time after which an unanswered order to stop is repeated.
 	stopRetryInterval = time.Second
 	// barDuration is how long a failing worker is excluded from placement before it
@@ -101,7 +104,7 @@
 	if w.Incarnation != 0 && listed.Incarnation < w.Incarnation {
 		return
 	}
-	p.setIncarnation(now, w, listed.Incarnation)
+	p.setIncarnation(w, listed.Incarnation)
 	if listed.Draining && !w.Draining {
 		p.logDecision(Decision{Event: "workerDraining", Worker: w.ID})
 	}
@@ -131,19 +134,30 @@
 	}
 }
 
-// setIncarnation sets the incarnation of a worker, and ends the runs of earlier ones.
-func (p *Planner) setIncarnation(now time.Time, w *worker, incarnation task.Incarnation) {
+// setIncarnation sets the incarnation of a worker. Runs of an earlier incarnation count
+// as present until the first report of the new one: it may carry out starts that were
+// sent to the earlier one.
+func (p *Planner) setIncarnation(w *worker, incarnation task.Incarnation) {
 	if w.Incarnation != 0 && w.Incarnation != incarnation {
 		p.logDecision(Decision{Event: "workerRestarted", Worker: w.ID, Fields: []any{"incarnation", incarnation,
 			"previousIncarnation", w.Incarnation, "runs", len(w.members)}})
 		w.Draining, w.failedJobs, w.barredUntil, w.unconfirmedStarts = false, nil, time.Time{}, nil
-		w.reservedForUpkeep, w.vm = false, ""
+		w.reservedForUpkeep, w.vm, w.reported = false, "", false
 	}
 	w.Incarnation = incarnation
-	for _, m := range slices.Clone(w.members) {
-		if m.incarnation != incarnation {
-			p.endMember(now, m, task.EndLost, "", "the worker has restarted")
-		}
+}
+
+// adopt moves the record of a run to the present incarnation of its worker, which has
+// carried out a start that was sent to an earlier one.
+func (p *Planner) adopt(now time.Time, m *member) {
+	m.incarnation, m.confirmedAt = m.worker.Incarnation, now
+	m.percent, m.progressedAt = 0, time.Time{}
+	p.markDirty(m.group.job)
+	p.logDecision(Decision{Event: "adopted", Job: m.group.job.ID, Task: m.taskName(), Run: m.group.run, Worker: m.worker.ID,
+		Age: now.Sub(m.orderedAt), Fields: []any{"incarnation", m.incarnation}})
+	if m.stopRequested {
+		m.stopSentAt, m.confirmedAt = now, time.Time{}
+		p.enqueueOrder(now, Stop, m)
 	}
 }
 
@@ -159,13 +173,15 @@
 }
 
 // HandleReport updates the runs of a worker to its report, which answers a call that
-// was sent at sent. A report of an earlier incarnation is ignored.
+// was sent at sent. A report of an earlier incarnation is ignored. When the first report
+// of an incarnation was requested, no call to an earlier one may take effect any more:
+// runs of earlier incarnations that it does not list have ended.
 func (p *Planner) HandleReport(now, sent time.Time, report task.Report) {
 	w := p.ensureWorker(report.Worker)
 	if report.Incarnation < w.Incarnation {
 		return
 	}
-	p.setIncarnation(now, w, report.Incarnation)
+	p.setIncarnation(w, report.Incarnation)
 	w.reported = true
 	if report.Draining && !w.Draining {
 		w.Draining = true
@@ -185,7 +201,11 @@
 		p.handleEndedRun(now, w, e)
 	}
 	for _, m := range slices.Clone(w.members) {
-		if _, ok := listed[m.taskName()]; !ok && !m.confirmedAt.IsZero() && sent.After(m.confirmedAt) {
+		_, ok := listed[m.taskName()]
+		switch {
+		case m.incarnation != w.Incarnation:
+			p.endMember(now, m, task.EndLost, "", "the worker has restarted")
+		case !ok && !m.confirmedAt.IsZero() && sent.After(m.confirmedAt):
 			p.endMember(now, m, task.EndLost, "", "the worker no longer lists the run")
 		}
 	}
@@ -225,6 +245,9 @@
 			Fields: []any{"incarnation", w.Incarnation, "recordedRun", recordedRun, "recordedWorker", recordedWorker}})
 		return
 	}
+	if m.incarnation != w.Incarnation {
+		p.adopt(now, m)
+	}
 	g := m.group
 	m.running, m.tailLatency = true, a.TailLatency
 	p.markStarted(g.job)
@@ -436,6 +459,9 @@
 	for _, w := range p.workers {
 		if len(w.members) > 0 && now.After(w.leaseExpiry) {
 			for _, m := range slices.Clone(w.members) {
+				if m.incarnation != w.Incarnation && !now.After(p.config.LeaseExpiry(m.orderedAt.Add(maxCallDelay))) {
+					continue
+				}
 				if m.confirmedAt.IsZero() {
 					w.addUnconfirmedStart(m)
 				}
