Send no start again after its run has ended

What callers saw: two runs of one task could run at the same time.

Cause: a start without an answer is sent up to three times. If the first attempt was carried out and its run ended, the task started elsewhere, and a worker that had restarted meanwhile carried out the next attempt beside it.

Change: the delivery of a start ends when a report lists the end of its run.

Ruled out: counting an end only after the delivery has ended, which would hold up each end by the time of the attempts.

--- a/lib/controller/fake_test.go
+++ b/lib/controller/fake_test.go
@@ -184,6 +184,8 @@
 	incarnation  task.Incarnation         // in reports, if it is not that of the target
 	polls        []controller.PollRequest // all polls so far
 	startFence   task.Fence               // highest fence of a start
+	// beforeStart, if not nil, is called with each start, without the lock.
+	beforeStart func(o planner.Order)
 }
 
 func newFakeWorkers() *fakeWorkers {
@@ -251,6 +253,9 @@
 
 func (w *fakeWorkers) SendOrder(_ context.Context, t controller.Target, o planner.Order, fence task.Fence,
 	_ task.ClockMillis) (planner.OrderResult, error) {
+	if o.Kind == planner.Start && w.beforeStart != nil {
+		w.beforeStart(o)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	defer w.notify()
--- a/lib/controller/link.go
+++ b/lib/controller/link.go
@@ -92,6 +92,9 @@
 	ackedEnds      task.EndSeq // highest number acknowledged to the worker
 	reportedEnds   task.EndSeq // highest number in any report
 	unlistedAt     time.Time   // when the worker left the platform's list, or zero
+	delivering     task.Name   // of the order that is being delivered
+	deliveringRun  task.RunNumber
+	deliveredEnd   bool // a report has listed the end of that run
 }
 
 func newLink(ctx context.Context, s *session, w task.Worker) *link {
@@ -336,6 +339,11 @@
 	}
 	l.answered, l.awaitingReport = true, false
 	l.health.Observe(nil)
+	for _, end := range report.Ends {
+		if end.Task == l.delivering && end.Run == l.deliveringRun {
+			l.deliveredEnd = true
+		}
+	}
 	e := &reportEvent{link: l, sent: sent, report: report}
 	l.reportedEnds = max(l.reportedEnds, e.maxEndSeq())
 	return e
@@ -384,15 +392,22 @@
 
 // deliver sends one order and retries it while no answer arrives.
 func (l *link) deliver(ctx context.Context, o planner.Order) {
+	l.mu.Lock()
+	l.delivering, l.deliveringRun, l.deliveredEnd = o.Task, o.Run, false
+	l.mu.Unlock()
 	result := planner.NotSent
 	for attempt := range orderAttempts {
 		now := l.session.controller.config.Timer.Now()
 		l.mu.Lock()
-		target, fence, deadline := l.target, l.fence, l.leaseDeadline(now)
+		target, fence, deadline, ended := l.target, l.fence, l.leaseDeadline(now), l.deliveredEnd
 		if deadline > 0 && o.Kind == planner.Start {
 			l.extendedAt = now
 		}
 		l.mu.Unlock()
+		if ended {
+			result = planner.Accepted // a worker that has restarted since would start the run again
+			break
+		}
 		if !l.session.term.Valid() || now.After(o.SendDeadline()) || target.Incarnation != o.Incarnation || deadline == 0 {
 			break
 		}
--- a/lib/controller/link_test.go
+++ b/lib/controller/link_test.go
@@ -1,6 +1,7 @@
 package controller_test
 
 import (
+	"slices"
 	"testing"
 
 	"bronzewinch.dev/lib/controller"
@@ -76,3 +77,30 @@
 		})
 	}
 }
+
+// TestStartIsNotRetriedAfterItsRunHasEnded guards against a start that is sent again after
+// its run has ended: a worker that has restarted meanwhile would run the task a second time.
+func TestStartIsNotRetriedAfterItsRunHasEnded(t *testing.T) {
+	is := is.New(t)
+	workers := newFakeWorkers()
+	workers.startResults = []planner.OrderResult{planner.Unanswered}
+	var attempts []task.RunNumber
+	workers.beforeStart = func(o planner.Order) {
+		workers.mu.Lock()
+		attempts = append(attempts, o.Run)
+		if len(attempts) > 1 {
+			workers.mu.Unlock()
+			return
+		}
+		workers.runs[o.Worker] = []task.ActiveRun{{Task: o.Task, Run: o.Run}}
+		workers.end(o.Worker, task.EndStopped)
+		workers.mu.Unlock()
+		workers.await(t, "the acknowledgement", func() bool { return workers.acked == 1 })
+	}
+	c := serve(t, newFakeStore(), workers)
+	is.Equal(c.submit(jobA).Outcome, controller.OK)
+	workers.await(t, "the start of the second run", func() bool { return slices.Contains(attempts, 2) })
+	workers.mu.Lock()
+	defer workers.mu.Unlock()
+	is.Equal(attempts, []task.RunNumber{1, 2})
+}
