Allow for a slow clock between the last report and a lease

What callers saw: nothing yet; two runs of one task could overlap.

Cause: a worker's clock may be 2% slow. The owner allowed for that during a lease, but not when it projected the worker's clock from the last report: a worker that had not been polled for 20 s got a lease that ended 0.4 s later than the owner computed, beyond the slack of 0.2 s.

Change: the projection assumes the slowest clock, and the expiry divides by the rate of that clock instead of adding 2%.

Ruled out: polling idle workers more often, which costs a call each.

Measured: TestLeaseAllowsForSlowClock fails on the previous code and passes now.

--- a/lib/controller/fake_test.go
+++ b/lib/controller/fake_test.go
@@ -184,6 +184,9 @@
 	incarnation  task.Incarnation         // in reports, if it is not that of the target
 	polls        []controller.PollRequest // all polls so far
 	startFence   task.Fence               // highest fence of a start
+	reportedAt   time.Time                // when the last report was made
+	startedAfter time.Duration            // from that report to the last start
+	startUntil   task.ClockMillis         // end of the lease in the last start
 	// beforeStart, if not nil, is called with each start, without the lock.
 	beforeStart func(o planner.Order)
 }
@@ -243,6 +246,7 @@
 	for i := range w.runs[t.Worker] {
 		w.runs[t.Worker][i].Percent++
 	}
+	w.reportedAt = time.Now()
 	incarnation := t.Incarnation
 	if w.incarnation != 0 {
 		incarnation = w.incarnation
@@ -252,7 +256,7 @@
 }
 
 func (w *fakeWorkers) SendOrder(_ context.Context, t controller.Target, o planner.Order, fence task.Fence,
-	_ task.ClockMillis) (planner.OrderResult, error) {
+	until task.ClockMillis) (planner.OrderResult, error) {
 	if o.Kind == planner.Start && w.beforeStart != nil {
 		w.beforeStart(o)
 	}
@@ -261,6 +265,7 @@
 	defer w.notify()
 	if o.Kind == planner.Start {
 		w.startFence = max(w.startFence, fence)
+		w.startedAfter, w.startUntil = time.Since(w.reportedAt), until
 	}
 	if o.Kind == planner.Start && len(w.startResults) > 0 {
 		next := w.startResults[0]
--- a/lib/controller/link.go
+++ b/lib/controller/link.go
@@ -211,13 +211,13 @@
 	return l.extendedAt, !l.extendedAt.IsZero()
 }
 
-// leaseDeadline returns the time on the worker's clock that is MaxLease from
-// now, or zero when the clock is not known or leases may no longer be extended.
+// leaseDeadline returns the latest time on the worker's clock that is certain to be
+// no more than MaxLease from now, or zero when the clock is not known or leases may no longer be extended.
 func (l *link) leaseDeadline(now time.Time) task.ClockMillis {
 	if l.clockAt.IsZero() || !l.session.term.MayExtendLeases() {
 		return 0
 	}
-	return l.clock + task.ClockMillis(now.Sub(l.clockAt).Milliseconds()) +
+	return l.clock + task.ClockMillis(planner.WorkerTime(now.Sub(l.clockAt)).Milliseconds()) +
 		task.ClockMillis(l.session.controller.config.Planner.MaxLease.Milliseconds())
 }
 
--- a/lib/controller/link_test.go
+++ b/lib/controller/link_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"bronzewinch.dev/lib/controller"
 	"bronzewinch.dev/lib/planner"
@@ -104,3 +105,18 @@
 	defer workers.mu.Unlock()
 	is.Equal(attempts, []task.RunNumber{1, 2})
 }
+
+// TestLeaseAllowsForSlowClock guards against a lease that lasts longer than the owner
+// computes, on a worker whose clock is 2% slow and that was not polled for some time.
+func TestLeaseAllowsForSlowClock(t *testing.T) {
+	is := is.New(t)
+	c := serve(t, newFakeStore(), newFakeWorkers())
+	time.Sleep(1500 * time.Millisecond) // the clock of the only report gets older
+	is.Equal(c.submit(jobA).Outcome, controller.OK)
+	c.workers.await(t, "the start", func() bool { return len(c.workers.started) == 1 })
+	c.workers.mu.Lock()
+	defer c.workers.mu.Unlock()
+	is.True(c.workers.startedAfter >= 1500*time.Millisecond)
+	slow := time.Duration(0.98 * float64(c.workers.startedAfter))
+	is.True(c.workers.startUntil <= 1000+task.ClockMillis((slow+6*time.Second).Milliseconds()))
+}
--- a/lib/planner/planner.go
+++ b/lib/planner/planner.go
@@ -49,7 +49,12 @@
 // LeaseExpiry returns the time after which a lease that was granted by a call sent at
 // sent has expired even on a slow clock.
 func (c Config) LeaseExpiry(sent time.Time) time.Time {
-	return sent.Add(time.Duration(float64(c.MaxLease)*(1+maxClockDrift)) + leaseSlack)
+	return sent.Add(time.Duration(float64(c.MaxLease)/(1-maxClockDrift)) + leaseSlack)
+}
+
+// WorkerTime returns the least time that passes on a worker's clock during d.
+func WorkerTime(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 - maxClockDrift))
 }
 
 // Rules is the part of the operators' configuration on which placement depends.
