Treat no run as lost because of a report that does not hold all ended runs

What callers saw: nothing yet; a task could start again after it had succeeded.

Cause: a worker reports 500 ended runs at most. A run whose end was not among them was neither active nor ended, counted as lost and started again.

Change: a report with 500 ended runs ends only the runs that it lists as ended. The next report, after the acknowledgement, holds the rest.

Ruled out: acknowledging ends sooner; they are acknowledged when stored, and an outage of the store delays that.

--- a/lib/planner/planner_test.go
+++ b/lib/planner/planner_test.go
@@ -384,6 +384,24 @@
 	is.Equal(orders[0].Run, task.RunNumber(2))
 }
 
+// TestTruncatedReport guards against a run that counts as lost although it has succeeded,
+// because the report does not contain all ended runs: the task would run twice.
+func TestTruncatedReport(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, 2)
+	start := submitAndPlan(s, singleStepJob(1, task.Step{Tasks: 1}), 1)[0]
+	s.planner.HandleOrderResult(s.now, start, planner.Accepted)
+	s.now = s.now.Add(time.Second)
+	other := task.EndedRun{Seq: 1, Task: task.Name{Job: "00000000000000ff"}, Run: 1, Reason: task.EndStopped}
+	s.planner.HandleReport(s.now, s.now, task.Report{Worker: start.Worker, Incarnation: 1, Ends: []task.EndedRun{other}, Truncated: true})
+	s.planner.Plan(s.now)
+	is.Equal(len(s.planner.TakeChanges().Orders), 0)
+	end := task.EndedRun{Seq: 2, Task: start.Task, Run: start.Run, Reason: task.EndDone}
+	s.planner.HandleReport(s.now, s.now, task.Report{Worker: start.Worker, Incarnation: 1, Ends: []task.EndedRun{end}})
+	status, _ := s.planner.Status(start.Task.Job)
+	is.Equal(status.State, task.Completed)
+}
+
 // TestRestoredJobsKeepOrder guards against a new owner that counts later jobs of the
 // first priority against a guarantee before earlier ones.
 func TestRestoredJobsKeepOrder(t *testing.T) {
--- a/lib/planner/worker.go
+++ b/lib/planner/worker.go
@@ -192,14 +192,25 @@
 	if asOf.IsZero() {
 		asOf = sent
 	}
-	listed := make(map[task.Name]struct{}, len(report.Active))
 	for _, a := range report.Active {
-		listed[a.Task] = struct{}{}
 		p.handleActiveRun(now, asOf, w, a)
 	}
 	for _, e := range report.Ends {
 		p.handleEndedRun(now, w, e)
 	}
+	if !report.Truncated { // otherwise the end of any run may be missing
+		p.endUnlistedRuns(now, sent, w, report.Active)
+	}
+	p.adjustPace(now, w)
+}
+
+// endUnlistedRuns ends the runs that a complete report, which was requested at sent,
+// does not list.
+func (p *Planner) endUnlistedRuns(now, sent time.Time, w *worker, active []task.ActiveRun) {
+	listed := make(map[task.Name]struct{}, len(active))
+	for _, a := range active {
+		listed[a.Task] = struct{}{}
+	}
 	for _, m := range slices.Clone(w.members) {
 		_, ok := listed[m.taskName()]
 		switch {
@@ -209,7 +220,6 @@
 			p.endMember(now, m, task.EndLost, "", "the worker no longer lists the run")
 		}
 	}
-	p.adjustPace(now, w)
 }
 
 // RecordLeaseGrant records that a call that was sent at sent may have extended the
--- a/lib/task/task.go
+++ b/lib/task/task.go
@@ -275,6 +275,8 @@
 	AsOf   time.Time
 	Active []ActiveRun
 	Ends   []EndedRun
+	// Truncated means that the worker has ended runs that the report does not contain.
+	Truncated bool
 	// Draining means that the worker will shut down, at the earliest after Remaining.
 	Draining  bool
 	Remaining time.Duration
