Keep runs on record until the VM of their worker is up after an upkeep

What callers saw: nothing yet; two runs of one task could run at the same time.

While a VM was down for its upkeep, the runs of its worker were ended and their tasks started elsewhere. The worker may start again under its id and carry out a start that was sent before.

Change: the runs end when the list of VMs names another worker, when the VM is gone, or on the first report of the restarted worker.

Ruled out: a difference for runs whose start was answered; only upkeeps that are overdue end runs at all, and a VM is down for two seconds.

Measured: TestStartAfterUpkeepIsNotRepeated fails on the previous code and passes now, with all tests of the planner.

--- a/lib/planner/wave.go
+++ b/lib/planner/wave.go
@@ -154,12 +154,12 @@
 }
 
 // checkUpkeep looks up a VM whose upkeep has begun in a list that was requested
-// later. It ends the runs of the VM's former worker, and the upkeep if the VM is up
-// again or no longer listed.
+// later. It ends the runs of the VM's former worker, unless that may start again under
+// its id, and the upkeep if the VM is up again or no longer listed.
 func (p *Planner) checkUpkeep(now time.Time, w *wave, name id.VM, u *vmUpkeep) {
 	v := p.vms[name]
 	for _, other := range p.workers {
-		if other.vm == name && (v == nil || v.Worker != other.ID) {
+		if other.vm == name && (v == nil || v.Worker != "" && v.Worker != other.ID) {
 			p.endRunsOn(now, other)
 		}
 	}
--- a/lib/planner/wave_test.go
+++ b/lib/planner/wave_test.go
@@ -330,6 +330,38 @@
 	is.Equal(len(submitAndPlan(s, singleStepJob(1, task.Step{Tasks: 1}), 1)), 1)
 }
 
+// TestStartAfterUpkeepIsNotRepeated guards against a second run of a task whose start is
+// carried out by the worker that starts under the same id after the upkeep of its VM.
+func TestStartAfterUpkeepIsNotRepeated(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, 2)
+	start := submitAndPlan(s, singleStepJob(1, task.Step{Tasks: 1, Estimate: time.Hour}), 1)[0]
+	s.planner.HandleOrderResult(s.now, start, planner.Accepted)
+	restarted := s.workers[start.Worker].Worker
+	restarted.Incarnation = 2
+	vm := id.VM("m" + string(start.Worker[1:]))
+	s.planner.AddWave(s.now, task.Wave{Number: firstWave, VMs: []id.VM{vm}, MaxDown: 1, TimeLimit: time.Second})
+	update := func(listed task.VM) planner.Changes {
+		s.now = s.now.Add(time.Second)
+		s.planner.RecordLeaseGrant(start.Worker, s.now)
+		s.planner.UpdateVMs(s.now, s.now, []task.VM{listed})
+		s.planner.Tick(s.now)
+		s.planner.Plan(s.now)
+		return s.planner.TakeChanges()
+	}
+	var upkeeps []planner.UpkeepOrder
+	for range 10 { // until orders of an earlier owner can't be in flight any more
+		upkeeps = append(upkeeps, update(task.VM{Name: vm, Up: true, Worker: start.Worker}).UpkeepOrders...)
+	}
+	s.planner.HandleUpkeepResult(s.now, upkeeps[0], planner.UpkeepBegun)
+	is.Equal(len(update(task.VM{Name: vm}).Orders), 0)
+	s.planner.UpdateWorker(s.now, restarted)
+	s.planner.HandleReport(s.now, s.now, task.Report{Worker: start.Worker, Incarnation: 2,
+		Active: []task.ActiveRun{{Task: start.Task, Run: start.Run}}})
+	is.Equal(len(update(task.VM{Name: vm, Up: true, Worker: start.Worker}).Orders), 0)
+	is.True(s.planner.Busy(start.Worker))
+}
+
 // TestWithdrawnWave guards against upkeeps that begin after the operators have withdrawn
 // the wave.
 func TestWithdrawnWave(t *testing.T) {
