Guard the decoders of the platform's lists against odd entries

Cause: operators of similar systems saw processes that ended or stopped following the list of workers after one entry that was nested deeply or had a number or port out of range. TestOddEntries writes 20 odd values under new names and under that of a worker, and three odd keys, beside two daemons; the stand-in store can therefore hold any bytes. Ruled out: the end of a process, in all of these cases; JSON nested deeper than 10,000 is an error of the decoder, also in unused fields. Conclusion: an odd entry names no worker, and the others hold.

--- a/standin/cooperative/cooperative_test.go
+++ b/standin/cooperative/cooperative_test.go
@@ -1,12 +1,16 @@
 package cooperative_test
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -238,6 +242,62 @@
 	checkInvariants(t, d)
 }
 
+// TestOddEntries guards against an owner that ends, that no longer follows the list of
+// workers, or that calls what an invalid entry names, after another writer has left
+// invalid entries on the list, under new names and under that of a worker.
+func TestOddEntries(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 2, 1)
+	var calls atomic.Int32
+	other := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls.Add(1) }))
+	t.Cleanup(other.Close)
+	worker := d.Fleet.NewWorker("i-late")
+	server := httptest.NewServer(worker.Handler())
+	t.Cleanup(server.Close)
+	entry := func(s *httptest.Server) map[string]any {
+		return worker.StoreEntry(strings.TrimPrefix(s.URL, "http://"), "r-0", "ready")
+	}
+	valid, err := json.Marshal(entry(other))
+	is.NoErr(err)
+	with := func(field, value string) []byte { // the last value of a field counts
+		return fmt.Appendf(nil, `%s,%q:%s}`, bytes.TrimSuffix(valid, []byte("}")), field, value)
+	}
+	const depth = 100_000
+	nested := strings.Repeat("[", depth) + strings.Repeat("]", depth)
+	odd := [][]byte{nil, []byte("\x00\xff"), []byte(nested), []byte(strings.Repeat("[", depth)), []byte("null"), with("unused", nested), with("labels", nested),
+		with("capacity", strings.Repeat(`{"cpu":`, depth)+"1"+strings.Repeat("}", depth)), with("capacity", `{"cpu":1e400,"mem_mb":1,"gpu":8}`),
+		with("capacity", `{"cpu":1000,"mem_mb":8796093022208,"gpu":8}`), with("capacity", `{"cpu":1000,"mem_mb":1024,"gpu":-8}`),
+		with("born", "9223372036854775807"), with("born", "9223372036854775808"), with("seq", `"1"`), with("slots", "1e400"), with("state", `"asleep"`),
+		with("address", `"127.0.0.1:65536"`), with("address", `"127.0.0.1:0"`), with("address", `"a\u0000b:80"`), with("zone", "3")}
+	owner := d.Owner()
+	for i, value := range odd {
+		d.Store.WriteBytes(fmt.Sprintf("servers/odd-%d", i), value)
+		d.Store.WriteBytes("servers/i-late", value)
+	}
+	for _, key := range []string{"servers/", "servers/a\r\nb", "servers/\u00e9"} {
+		d.Store.WriteBytes(key, valid)
+	}
+	time.Sleep(second)
+	d.Store.Write("servers/i-late", entry(server))
+	// The gang needs all workers.
+	gang := []cooperative.Step{{Count: 2, GPU: cooperative.WorkerGPUs, Gang: true, RunTime: second / 4}}
+	is.Equal(submit(d, 1, "00000000000000aa", gang), http.StatusOK)
+	awaitState(t, d, 1, "00000000000000aa", "completed")
+	is.Equal(d.Owner(), owner)
+	for _, n := range d.Nodes {
+		select {
+		case <-n.Signal(syscall.Signal(0)):
+			t.Errorf("%s has exited", n.Name)
+		default:
+		}
+	}
+	<-owner.Signal(syscall.SIGKILL) // the next owner reads the list with the invalid entries
+	is.Equal(submit(d, 1, "00000000000000bb", gang), http.StatusOK)
+	awaitState(t, d, 1, "00000000000000bb", "completed")
+	is.Equal(calls.Load(), int32(0))
+	checkInvariants(t, d)
+}
+
 // TestReloadSignal guards against a process that exits on SIGHUP, which is Go's
 // default, instead of reloading its settings.
 func TestReloadSignal(t *testing.T) {
--- a/standin/cooperative/store.go
+++ b/standin/cooperative/store.go
@@ -95,10 +95,10 @@
 // Write sets a key to the JSON of value, as operators and workers do. A nil
 // value removes the key.
 func (s *Store) Write(key string, value any) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.rev++
 	if value == nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.rev++
 		s.remove(key)
 		return
 	}
@@ -106,7 +106,15 @@
 	if err != nil {
 		panic(err) // unreachable: tests write only values that can be encoded
 	}
-	s.put(key, b, 0)
+	s.WriteBytes(key, b)
+}
+
+// WriteBytes sets a key to any bytes, as a writer outside the platform's rules does.
+func (s *Store) WriteBytes(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev++
+	s.put(key, value, 0)
 }
 
 // put sets a key at the current revision. s.mu must be held.
