Hold back the replies, not the requests, in the proxy's one-way partition

Cause: BlockReplies is described as holding back what the target sends. The two calls of forward passed the direction the wrong way round, so that it held back what the client sends. No test or soak had a call that is carried out and whose reply is lost on the way. Change: the directions are exchanged. Ruled out: a change for the other modes, which treat both directions alike.

--- a/standin/cooperative/proxy.go
+++ b/standin/cooperative/proxy.go
@@ -108,10 +108,10 @@
 	defer p.track(t, false)
 	done := make(chan struct{})
 	go func() {
-		p.forward(c, t, false)
+		p.forward(c, t, true)
 		close(done)
 	}()
-	p.forward(t, c, true)
+	p.forward(t, c, false)
 	<-done
 }
 
