--- a/standin/cooperative/cooperative_test.go
+++ b/standin/cooperative/cooperative_test.go
@@ -251,7 +251,7 @@
 	var calls atomic.Int32
 	other := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls.Add(1) }))
 	t.Cleanup(other.Close)
-	worker := d.Fleet.NewWorker("i-late")
+	worker := d.Fleet.NewWorker("i-late", 0, nil)
 	server := httptest.NewServer(worker.Handler())
 	t.Cleanup(server.Close)
 	entry := func(s *httptest.Server) map[string]any {
