Extend no lease with the first poll under a new fence

Cause: after an unanswered start the next poll extended the lease, although the worker might be another incarnation or not answer at all. Leases are otherwise extended only for a worker that has answered.

Change: a raise of the fence counts as a call without an answer, so the first poll under it neither extends the lease nor acknowledges ends.

Ruled out: an effect on a worker that answers; its second poll follows at once.

Measured: TestUnansweredStartIsFenced now looks at the first poll under the new fence, and fails without the change.

--- a/lib/controller/link.go
+++ b/lib/controller/link.go
@@ -83,7 +83,7 @@
 	abortPoll      context.CancelFunc // ends the poll in progress
 	clock          task.ClockMillis   // lower bound of the worker's clock at clockAt
 	clockAt        time.Time
-	answered       bool        // the last poll was answered
+	answered       bool        // the last poll was answered, and all starts since
 	busy           bool        // some runs on the worker are not known to have ended
 	colocated      bool        // best-effort tasks run beside service tasks
 	awaitingReport bool        // the planner needs a first report
@@ -154,7 +154,7 @@
 // first report of the new one. The lock is held.
 func (l *link) startIncarnation(incarnation task.Incarnation) {
 	l.target.Incarnation = incarnation
-	l.clock, l.clockAt, l.answered = 0, time.Time{}, false
+	l.clock, l.clockAt = 0, time.Time{}
 	l.storedEnds, l.ackedEnds, l.reportedEnds = 0, 0, 0
 	l.raiseFence("the worker has restarted")
 }
@@ -165,7 +165,7 @@
 // do not count. The lock is held.
 func (l *link) raiseFence(reason string) {
 	l.fence = l.session.term.NextFence()
-	l.awaitingReport = true
+	l.answered, l.awaitingReport = false, true
 	l.abortPoll()
 	l.signal()
 	klog.InfoS("calls to the worker get a new fence", "event", "fence", "worker", l.name, "incarnation", l.target.Incarnation,
--- a/lib/controller/link_test.go
+++ b/lib/controller/link_test.go
@@ -12,22 +12,38 @@
 	"github.com/matryer/is"
 )
 
+// firstPollAbove returns the first poll under a fence that is higher than the given one.
+// The lock is held.
+func (w *fakeWorkers) firstPollAbove(fence task.Fence) (controller.PollRequest, bool) {
+	i := slices.IndexFunc(w.polls, func(p controller.PollRequest) bool { return p.Fence > fence })
+	if i < 0 {
+		return controller.PollRequest{}, false
+	}
+	return w.polls[i], true
+}
+
 // TestUnansweredStartIsFenced guards against a start that is carried out after it was
-// given up: the worker's next report must be requested under a higher fence.
+// given up: before the task starts again, the worker has to answer under a higher fence.
 func TestUnansweredStartIsFenced(t *testing.T) {
 	is := is.New(t)
 	workers := newFakeWorkers()
 	workers.startResults = []planner.OrderResult{planner.Unanswered, planner.Unanswered, planner.Unanswered}
+	var unanswered task.Fence
+	workers.beforeStart = func(o planner.Order) {
+		workers.mu.Lock()
+		defer workers.mu.Unlock()
+		if o.Run == 2 {
+			unanswered = workers.startFence
+		}
+	}
 	c := serve(t, newFakeStore(), workers)
 	is.Equal(c.submit(jobA).Outcome, controller.OK)
-	workers.await(t, "the stop", func() bool { return workers.stopped == 1 })
-	workers.mu.Lock()
-	unanswered, polls := workers.startFence, len(workers.polls)
-	workers.mu.Unlock()
-	workers.await(t, "the next report", func() bool { return len(workers.polls) > polls })
+	workers.await(t, "the second run", func() bool { return len(workers.started) == 1 })
 	workers.mu.Lock()
 	defer workers.mu.Unlock()
-	is.True(workers.polls[polls].Fence > unanswered)
+	first, ok := workers.firstPollAbove(unanswered)
+	is.True(ok)
+	is.Equal(first.Until, task.ClockMillis(0)) // the worker may be another incarnation
 }
 
 // TestCallsToEarlierIncarnationAreFenced guards against a call to a worker that is carried
@@ -58,23 +74,16 @@
 			for _, p := range workers.polls {
 				highest = max(highest, p.Fence)
 			}
-			polls := len(workers.polls)
 			workers.notify() // ends the poll in progress
 			workers.mu.Unlock()
 			test.restart(lists, restarted)
 			workers.await(t, "the second start", func() bool { return len(workers.started) == 2 })
 			workers.mu.Lock()
 			defer workers.mu.Unlock()
-			first := -1
-			for i, p := range workers.polls[polls:] {
-				if p.Fence > highest {
-					first = polls + i
-					break
-				}
-			}
-			is.True(first >= 0) // polled under a higher fence before the task started again
-			is.Equal(workers.polls[first].Acked, task.EndSeq(0))
-			is.Equal(workers.polls[first].Until, task.ClockMillis(0))
+			first, ok := workers.firstPollAbove(highest)
+			is.True(ok) // before the task started again
+			is.Equal(first.Acked, task.EndSeq(0))
+			is.Equal(first.Until, task.ClockMillis(0))
 		})
 	}
 }
