Remove the repeated stops of starts that were given up

Cause: after a lease had expired, the planner repeated stops of an unanswered start until the worker accepted one. The fence that the link raises after an unanswered start makes them needless.

Change: the planner keeps no starts after their runs have ended. Stops of runs on record are repeated as before.

That the given-up start has no effect is checked by TestUnansweredStartIsFenced and, with processes, by TestLateStartAfterLease.

Ruled out: keeping them beside the fence; they cost a call a second to each worker that does not answer.

--- a/lib/planner/worker.go
+++ b/lib/planner/worker.go
@@ -53,14 +53,6 @@
 	colocated         bool         // it runs best-effort tasks beside service tasks
 	pace              task.Percent // of its best-effort tasks
 	paceChangedAt     time.Time    // when pace last changed
-	// unconfirmedStarts holds runs that the planner has ended while an order about them
-	// was unanswered. The worker may still start them once it has a lease again.
-	unconfirmedStarts map[task.Name]unconfirmedStart
-}
-
-type unconfirmedStart struct {
-	run        task.RunNumber
-	stopSentAt time.Time // when the last order to stop was issued
 }
 
 func (w *worker) addMember(m *member) {
@@ -141,7 +133,7 @@
 	if w.Incarnation != 0 && w.Incarnation != incarnation {
 		p.logDecision(Decision{Event: "workerRestarted", Worker: w.ID, Fields: []any{"incarnation", incarnation,
 			"previousIncarnation", w.Incarnation, "runs", len(w.members)}})
-		w.Draining, w.failedJobs, w.barredUntil, w.unconfirmedStarts = false, nil, time.Time{}, nil
+		w.Draining, w.failedJobs, w.barredUntil = false, nil, time.Time{}
 		w.reservedForUpkeep, w.vm, w.reported = false, "", false
 	}
 	w.Incarnation = incarnation
@@ -418,9 +410,6 @@
 	if !ok {
 		return
 	}
-	if o.Kind == Stop && result == Accepted && w.unconfirmedStarts[o.Task].run == o.Run {
-		delete(w.unconfirmedStarts, o.Task)
-	}
 	m := w.findMember(o.Task, o.Run)
 	if m == nil || m.incarnation != o.Incarnation {
 		return
@@ -472,9 +461,6 @@
 				if m.incarnation != w.Incarnation && !now.After(p.config.LeaseExpiry(m.orderedAt.Add(maxCallDelay))) {
 					continue
 				}
-				if m.confirmedAt.IsZero() {
-					w.addUnconfirmedStart(m)
-				}
 				p.endMember(now, m, task.EndLost, "", "the worker did not answer before its lease expired")
 			}
 		}
@@ -486,7 +472,6 @@
 				p.enqueueOrder(now, Stop, m)
 			}
 		}
-		p.stopUnconfirmedStarts(now, w)
 	}
 	p.advanceWaves(now)
 	for name, j := range p.jobs {
@@ -497,26 +482,6 @@
 	}
 }
 
-// addUnconfirmedStart records that the worker may still start a run that the planner
-// has ended.
-func (w *worker) addUnconfirmedStart(m *member) {
-	if w.unconfirmedStarts == nil {
-		w.unconfirmedStarts = make(map[task.Name]unconfirmedStart)
-	}
-	w.unconfirmedStarts[m.taskName()] = unconfirmedStart{run: m.group.run}
-}
-
-// stopUnconfirmedStarts orders the worker to stop its unconfirmed starts, and repeats
-// the orders until they are accepted.
-func (p *Planner) stopUnconfirmedStarts(now time.Time, w *worker) {
-	for name, start := range w.unconfirmedStarts {
-		if now.Sub(start.stopSentAt) > stopRetryInterval {
-			w.unconfirmedStarts[name] = unconfirmedStart{start.run, now}
-			p.orders = append(p.orders, Order{Kind: Stop, Worker: w.ID, Incarnation: w.Incarnation, Task: name, Run: start.run, Issued: now})
-		}
-	}
-}
-
 // runTimeRatio is the moving geometric mean of the ratios between the run times of a
 // queue and the submitters' estimates. Estimates are wrong by factors, so an arithmetic
 // mean would be dominated by the few that are far too low.
