Extend no lease for a worker whose reports do not count

What callers saw: nothing yet; a task could stop without being started again.

Cause: reports with an earlier start time than the list names are discarded, but counted as answers, so each poll extended the lease. If the list is wrong, as after an odd entry or a step of the worker's wall clock, the runs on record never ended. Found in a review of the restarts.

Change: such a report counts as no answer. The leases of the runs expire, and their tasks start elsewhere.

Ruled out: trusting the report instead of the list; a late answer of the earlier incarnation looks the same. The worker itself gets no starts until the list is right again.

Measured: TestNoLeaseForEarlierIncarnation fails without the change and passes with it.

--- a/lib/controller/link.go
+++ b/lib/controller/link.go
@@ -324,8 +324,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
-	case l.fence != req.Fence, report.Incarnation < l.target.Incarnation:
-		return nil // the platform's list already has a later incarnation
+	case l.fence != req.Fence:
+		return nil
+	case report.Incarnation < l.target.Incarnation:
+		// The list has a later incarnation. If that is wrong, runs must not be kept on
+		// record by the leases of a worker whose reports do not count.
+		l.answered = false
+		return nil
 	case report.Incarnation != l.target.Incarnation:
 		l.startIncarnation(report.Incarnation)
 		return nil // calls to the previous incarnation may still take effect after this report
--- a/lib/controller/link_test.go
+++ b/lib/controller/link_test.go
@@ -129,3 +129,25 @@
 	slow := time.Duration(0.98 * float64(c.workers.startedAfter))
 	is.True(c.workers.startUntil <= 1000+task.ClockMillis((slow+6*time.Second).Milliseconds()))
 }
+
+// TestNoLeaseForEarlierIncarnation guards against runs that stay on record for ever: the
+// reports of a worker with an earlier start time than listed do not count, but each poll
+// would extend the lease of its runs.
+func TestNoLeaseForEarlierIncarnation(t *testing.T) {
+	is := is.New(t)
+	workers := newFakeWorkers()
+	c := serve(t, newFakeStore(), workers)
+	is.Equal(c.submit(jobA).Outcome, controller.OK)
+	workers.await(t, "the start", func() bool { return len(workers.started) == 1 })
+	workers.mu.Lock()
+	workers.incarnation = testWorkers()[0].Incarnation - 1
+	polls := len(workers.polls)
+	workers.notify() // ends the poll in progress
+	workers.mu.Unlock()
+	workers.await(t, "two more polls", func() bool { return len(workers.polls) > polls+1 })
+	workers.mu.Lock()
+	defer workers.mu.Unlock()
+	for _, p := range workers.polls[polls+1:] {
+		is.Equal(p.Until, task.ClockMillis(0))
+	}
+}
