Order the pace of a run that a restarted worker carries out

What callers saw: nothing yet; users of service tasks could see a high tail latency after a restart.

Cause: a new incarnation starts runs at full pace. The record of an adopted run kept the pace of the previous incarnation, so no order followed.

Change: the pace of an adopted run is unknown, as after a change of owner.

Ruled out: the run's progress, which is reset already.

Measured: TestRestartedWorkerGetsPace fails without the change and passes now.

--- a/lib/planner/pace_test.go
+++ b/lib/planner/pace_test.go
@@ -257,3 +257,28 @@
 	is.Equal(status.State, task.Running)
 	is.True(c.sim.planner.Colocated(c.bestEffort.Worker)) // the worker has to be polled more often
 }
+
+// TestRestartedWorkerGetsPace guards against a best-effort task that a restarted worker
+// runs at full pace while the planner takes its former pace for granted.
+func TestRestartedWorkerGetsPace(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, 1)
+	starts := submitAndPlan(s, singleStepJob(1, task.Step{Tasks: 1, Service: true, TailTarget: 100 * time.Millisecond}), 1)
+	starts = append(starts, submitAndPlan(s, singleStepJob(2, task.Step{Tasks: 1, BestEffort: true}), 1)...)
+	for _, o := range starts {
+		s.planner.HandleOrderResult(s.now, o, planner.Accepted)
+	}
+	report := func(incarnation task.Incarnation) []planner.Order {
+		s.now = s.now.Add(600 * time.Millisecond)
+		s.planner.HandleReport(s.now, s.now, task.Report{Worker: "w-00", Incarnation: incarnation, Active: []task.ActiveRun{
+			{Task: starts[0].Task, Run: 1, Percent: 100, TailLatency: 70 * time.Millisecond}, {Task: starts[1].Task, Run: 1}}})
+		orders := s.planner.TakeChanges().Orders
+		for _, o := range orders {
+			s.planner.HandleOrderResult(s.now, o, planner.Accepted)
+		}
+		return orders
+	}
+	report(1)
+	is.Equal(countOrders(report(1), planner.Pace), 0)
+	is.True(countOrders(report(2), planner.Pace) > 0)
+}
--- a/lib/planner/worker.go
+++ b/lib/planner/worker.go
@@ -143,7 +143,7 @@
 // carried out a start that was sent to an earlier one.
 func (p *Planner) adopt(now time.Time, m *member) {
 	m.incarnation, m.confirmedAt = m.worker.Incarnation, now
-	m.percent, m.progressedAt = 0, time.Time{}
+	m.percent, m.progressedAt, m.pace = 0, time.Time{}, unknownPace
 	p.markDirty(m.group.job)
 	p.logDecision(Decision{Event: "adopted", Job: m.group.job.ID, Task: m.taskName(), Run: m.group.run, Worker: m.worker.ID,
 		Age: now.Sub(m.orderedAt), Fields: []any{"incarnation", m.incarnation}})
