Store the last fence of a term, so that earlier versions continue above it

What callers saw: nothing yet; during a rolling update back to a version with one fence for each term, workers with a raised fence would have rejected its owner.

Cause: the commit key held the first fence of a term, and the next owner of such a version takes the next number, which the term may have used.

Change: the commit key holds the last fence of the term's range. Owner key, logs and orders for VMs keep the first. The term is created before the transaction that starts it.

Ruled out: a range that ends at the term's fence; its first fence would be the one that an earlier version has just used.

--- a/lib/controller/cycle.go
+++ b/lib/controller/cycle.go
@@ -203,7 +203,7 @@
 // the store executes late.
 func (s *session) commitTxn(ctx context.Context, writes []kv.Write, removals []string) error {
 	s.txnNumber++
-	record := election.CommitRecord{Fence: s.term.Fence, Number: s.txnNumber}
+	record := s.term.CommitRecord(s.txnNumber)
 	value, err := record.Encode()
 	if err != nil {
 		return err
--- a/lib/election/election.go
+++ b/lib/election/election.go
@@ -90,8 +90,9 @@
 	Fence   task.Fence `cbor:"fence"`
 }
 
-// CommitRecord is the value of the commit key: the fence of the term that wrote
-// it last, and the number of that term's last transaction.
+// CommitRecord is the value of the commit key: the last fence that belongs to the term
+// that wrote it last, and the number of that term's last transaction. Nodes of a
+// version with one fence for each term continue from the last fence.
 type CommitRecord struct {
 	Fence  task.Fence `cbor:"fence"`
 	Number uint64     `cbor:"number"`
@@ -107,7 +108,7 @@
 // Encode encodes the value of the commit key.
 func (r CommitRecord) Encode() ([]byte, error) { return codec.CBOR.Marshal(r) }
 
-// FencesPerTerm is the number of fences of a term. It is a decimal number so that the
+// FencesPerTerm is the number of fences of a term. It is a power of ten so that the
 // fences in logs show the number of the term, and small enough that a fence remains an
 // exact number in JSON for a billion terms.
 const FencesPerTerm = 1_000_000
@@ -141,6 +142,11 @@
 // runs.
 func (t *Term) MayExtendLeases() bool { return t.sinceRenewal() < OutageGrace }
 
+// CommitRecord returns the record of a transaction of the term.
+func (t *Term) CommitRecord(number uint64) CommitRecord {
+	return CommitRecord{Fence: t.Fence + FencesPerTerm - 1, Number: number}
+}
+
 // LastFence returns the highest fence of the term that is in use.
 func (t *Term) LastFence() task.Fence {
 	return t.Fence + task.Fence(min(t.raises.Load(), FencesPerTerm-1))
@@ -487,12 +493,12 @@
 	if err != nil {
 		return nil, err
 	}
-	record = CommitRecord{Fence: firstFenceAfter(record.Fence)}
-	value, err := record.Encode()
+	term := &Term{Fence: firstFenceAfter(record.Fence), lease: lease, renewNow: make(chan struct{}, 1), done: make(chan struct{})}
+	value, err := term.CommitRecord(0).Encode()
 	if err != nil {
 		return nil, err
 	}
-	owner, err := codec.CBOR.Marshal(Owner{Node: e.config.Node, Address: e.config.Address, Fence: record.Fence})
+	owner, err := codec.CBOR.Marshal(Owner{Node: e.config.Node, Address: e.config.Address, Fence: term.Fence})
 	if err != nil {
 		return nil, err
 	}
@@ -509,8 +515,7 @@
 		_ = e.config.Store.Revoke(context.WithoutCancel(ctx), lease)
 		return nil, err
 	}
-	term := &Term{Fence: record.Fence, CommitVersion: result.Version, lease: lease, renewNow: make(chan struct{}, 1),
-		done: make(chan struct{})}
+	term.CommitVersion = result.Version
 	term.renewedAt.Store(int64(sent))
 	return term, nil
 }
--- a/lib/election/election_test.go
+++ b/lib/election/election_test.go
@@ -314,6 +314,11 @@
 		}
 		highest = next
 	}
+	item, err := (&nodeView{memoryStore: store}).Get(t.Context(), election.CommitKey)
+	is.NoErr(err)
+	record, err := election.DecodeCommitRecord(item.Value)
+	is.NoErr(err)
+	is.True(record.Fence >= highest) // nodes of an earlier version take the next fence
 	b := newCandidate(t, store, "b", false)
 	second := await(t, "the second term", b.terms)
 	is.True(second.Fence > highest)
