Restart workers and delay their calls in the soak

Change: six more entries in the list of faults: a worker restarts under its id (twice in the list) or under a new id, its orders or all its calls are late by 2 to 12 s, and it is cut off for longer than its lease and store entry last. Half of the faults of workers hit worker 0, so that they overlap.

--- a/bwbench/soakbench/soak.go
+++ b/bwbench/soakbench/soak.go
@@ -217,7 +217,7 @@
 	return func(s *soak, r *rand.Rand) func() {
 		p := randomNode(s, r).StoreProxy
 		if workers {
-			p = s.deployment.WorkerProxies[r.IntN(len(s.deployment.WorkerProxies))]
+			p = s.deployment.WorkerProxies[randomWorker(s, r)]
 		}
 		p.SetMode(m)
 		return func() {
@@ -229,6 +229,57 @@
 	}
 }
 
+// randomWorker returns the index of worker 0 in half of the cases, so that faults of
+// one worker overlap, and otherwise that of any worker.
+func randomWorker(s *soak, r *rand.Rand) int {
+	if r.IntN(2) == 0 {
+		return 0
+	}
+	return r.IntN(s.config.Workers)
+}
+
+// workerRestart returns a fault that crashes a worker and starts the next one on
+// its VM.
+func workerRestart(newID bool) func(*soak, *rand.Rand) func() {
+	return func(s *soak, r *rand.Rand) func() {
+		s.deployment.Cloud.RestartWorker(randomWorker(s, r), cooperative.Restart{
+			Downtime:      time.Duration(50+r.IntN(2000)) * time.Millisecond,
+			RegisterDelay: time.Millisecond + time.Duration(r.Int64N(int64(cooperative.HeartbeatInterval+cooperative.NoticeTime))),
+			NewID:         newID,
+		})
+		return nil
+	}
+}
+
+// lateCalls returns a fault that gives calls to a worker no answer and carries them
+// out later.
+func lateCalls(paths ...string) func(*soak, *rand.Rand) func() {
+	return func(s *soak, r *rand.Rand) func() {
+		worker := randomWorker(s, r)
+		s.deployment.Cloud.SetLateCalls(worker, &cooperative.LateCalls{Paths: paths, Share: 0.2 + 0.8*r.Float64(),
+			MinDelay: 2 * time.Second, MaxDelay: 12 * time.Second})
+		return func() { s.deployment.Cloud.SetLateCalls(worker, nil) }
+	}
+}
+
+// cutOffWorker cuts a worker off from the nodes and the store for as long as its
+// lease and its store entry last, and longer.
+func cutOffWorker(s *soak, r *rand.Rand) func() {
+	worker := randomWorker(s, r)
+	p := s.deployment.WorkerProxies[worker]
+	p.SetMode(cooperative.BlockAll)
+	s.deployment.Cloud.CutOffWorker(worker, true)
+	reset := r.IntN(2) == 0
+	return func() {
+		time.Sleep(cooperative.SilenceTime)
+		if reset {
+			p.Reset()
+		}
+		p.SetMode(cooperative.Forward)
+		s.deployment.Cloud.CutOffWorker(worker, false)
+	}
+}
+
 var faults = []fault{
 	{"kill a node", restartAfter(syscall.SIGKILL)},
 	{"terminate a node", restartAfter(syscall.SIGTERM)},
@@ -261,6 +312,12 @@
 	{"connection to the store is slow", proxyFault(cooperative.Delay, false)},
 	{"nodes do not receive what a worker sends", proxyFault(cooperative.BlockReplies, true)},
 	{"worker is partitioned from the nodes", proxyFault(cooperative.BlockAll, true)},
+	{"worker is cut off", cutOffWorker},
+	{"worker restarts under its id", workerRestart(false)},
+	{"worker restarts under its id", workerRestart(false)},
+	{"worker restarts under a new id", workerRestart(true)},
+	{"orders to a worker are late", lateCalls(cooperative.StartPath, cooperative.StopPath)},
+	{"calls to a worker are late", lateCalls(cooperative.StartPath, cooperative.StopPath, cooperative.PollPath)},
 	{"wave of upkeep", func(s *soak, r *rand.Rand) func() {
 		s.deployment.Cloud.RequestWave(s.deployment.Cloud.LastWave()+1, waveTimeLimit, 1)
 		return nil
@@ -328,7 +385,9 @@
 		n.StoreProxy.SetMode(cooperative.Forward)
 		s.start(n)
 	}
-	for _, p := range s.deployment.WorkerProxies {
+	for i, p := range s.deployment.WorkerProxies {
 		p.SetMode(cooperative.Forward)
+		s.deployment.Cloud.CutOffWorker(i, false)
+		s.deployment.Cloud.SetLateCalls(i, nil)
 	}
 }
