Add a test in which a new owner ends runs because of a stale list entry

An owner learns of a restart from a report and starts a task on the new incarnation. Another node takes over before the worker's store entry is rewritten, which takes up to 2.3 s. It loads the run with its current incarnation, reads the former one from the list, and setIncarnation ends every run of another incarnation, also of a later one. The task starts elsewhere while it runs.

--- a/standin/cooperative/restart_test.go
+++ b/standin/cooperative/restart_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -31,10 +32,10 @@
 	}
 }
 
-// awaitLog waits until the only node has logged a text.
-func awaitLog(t *testing.T, d *cooperative.Deployment, text string) {
+// awaitLog waits until a node has logged a text.
+func awaitLog(t *testing.T, n *cooperative.Node, text string) {
 	t.Helper()
-	for limit := time.Now().Add(5 * second); !strings.Contains(d.Nodes[0].Log(), text); time.Sleep(5 * time.Millisecond) {
+	for limit := time.Now().Add(5 * second); !strings.Contains(n.Log(), text); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(limit) {
 			t.Fatalf("no %q in the log after 5 s", text)
 		}
@@ -77,7 +78,7 @@
 		{"late start", func(t *testing.T, d *cooperative.Deployment, worker int) {
 			d.Cloud.SetLateCalls(worker, lateCalls(cooperative.StartPath, startDelay))
 			submitJob(t, d, job, step)
-			awaitLog(t, d, `event="start" job="`+job)
+			awaitLog(t, d.Nodes[0], `event="start" job="`+job)
 			time.Sleep(200 * time.Millisecond)
 			d.Cloud.RestartWorker(worker, cooperative.Restart{Downtime: 700 * time.Millisecond, RegisterDelay: second})
 			time.AfterFunc(600*time.Millisecond, func() { d.Cloud.SetLateCalls(worker, nil) })
@@ -113,7 +114,7 @@
 	worker := 1 - other
 	d.Cloud.SetLateCalls(worker, lateCalls(cooperative.StartPath, delay))
 	submitJob(t, d, job, cooperative.Step{Count: 1, GPU: 7, RunTime: 4 * second})
-	awaitLog(t, d, `event="start" job="`+job)
+	awaitLog(t, d.Nodes[0], `event="start" job="`+job)
 	time.Sleep(200 * time.Millisecond)
 	d.WorkerProxies[worker].SetMode(cooperative.BlockAll)
 	d.Cloud.CutOffWorker(worker, true)
@@ -128,3 +129,28 @@
 	awaitState(t, d, 1, job, "completed")
 	checkInvariants(t, d)
 }
+
+// TestNewOwnerKeepsRunsOfRestartedWorker guards against a new owner that ends the
+// runs of a worker's current incarnation, because the list still has the former one.
+func TestNewOwnerKeepsRunsOfRestartedWorker(t *testing.T) {
+	const job, largeOther = "00000000000000aa", "00000000000000b1"
+	d := newDeployment(t, 2, 2)
+	other := startJob(t, d, largeOther, cooperative.Step{Count: 1, GPU: 6, RunTime: 9 * second})
+	startJob(t, d, "00000000000000b2", cooperative.Step{Count: 1, GPU: 1, RunTime: 9 * second})
+	worker := startJob(t, d, job, cooperative.Step{Count: 1, GPU: 4, RunTime: 4 * second})
+	if worker == other {
+		t.Fatalf("worker %d runs both jobs", worker)
+	}
+	owner := d.Owner()
+	d.Cloud.RestartWorker(worker, cooperative.Restart{Downtime: 50 * time.Millisecond,
+		RegisterDelay: cooperative.HeartbeatInterval + cooperative.NoticeTime})
+	awaitLog(t, owner, `event="start" job="`+job+`" task="`+job+`.0.0.0" run=2`)
+	for d.Cloud.WorkerOf(job+".0.0.0") != worker {
+		time.Sleep(5 * time.Millisecond)
+	}
+	d.Fleet.CompleteTask(largeOther + ".0.0.0") // the task would now fit on the other worker
+	awaitState(t, d, 1, largeOther, "completed")
+	owner.Signal(syscall.SIGTERM)
+	awaitState(t, d, 1, job, "completed")
+	checkInvariants(t, d)
+}
