Log why a task or gang has not started for five seconds

Cause: the log had no line between the end of a run and the next start, so it could not tell whether a gang waited for a rack, for headroom, or for capacity that was being freed.

Change: the planner logs event "waiting" with the reason, five seconds after a group could start and every five seconds from then on. For a group that needs a rack the line has the time after which it may run on several racks. The decisions stay as they are: the bound of the wait for a rack becomes a function of its own, which the line uses too.

--- a/lib/planner/job.go
+++ b/lib/planner/job.go
@@ -46,6 +46,7 @@
 	failureCounted bool      // the failure of the run in progress is in failures
 	readyAt        time.Time // since when the group could start
 	startedAt      time.Time
+	waitLoggedAt   time.Time   // when it was last logged that the group waits
 	failedOn       []id.Worker // workers on which a run of the group has failed
 }
 
@@ -76,6 +77,12 @@
 
 func (g *group) step() *task.Step { return &g.job.Steps[g.stepIndex] }
 
+// needsRack reports whether the group runs at full speed only within one rack.
+func (g *group) needsRack() bool {
+	s := g.step()
+	return s.DataRack != "" || s.SameRack && g.size > 1
+}
+
 func (g *group) idle() bool { return !g.done && len(g.members) == 0 }
 
 // Submit accepts a job. Submitting a known job again has no effect, unless it names
--- a/lib/planner/plan.go
+++ b/lib/planner/plan.go
@@ -187,6 +187,7 @@
 	freeLater := func(c *candidate) unit.Resources { return c.freeLater }
 	sets, remote := ps.candidateSets(g)
 	if ps.mustLeaveHeadroom(g) {
+		ps.logWaiting(g, "headroom is kept for jobs of the first priority")
 		return false
 	}
 	for _, set := range sets {
@@ -195,25 +196,52 @@
 			return true
 		}
 	}
+	const reserved = "the capacity for it is being freed"
 	if ps.mayPreempt(g) {
 		for _, set := range sets {
 			if ps.reserve(g, pack(g, set, ps, freeLater)) {
+				ps.logWaiting(g, reserved)
 				return true
 			}
 		}
 		if ps.reserve(g, ps.preempt(g, sets)) {
+			ps.logWaiting(g, reserved)
 			return true
 		}
 	}
 	if remote == nil {
+		if g.needsRack() {
+			ps.logWaiting(g, "no rack has enough free capacity", "remoteAfterMs", ps.remoteWait(g).Milliseconds())
+		} else {
+			ps.logWaiting(g, "not enough free capacity")
+		}
 		return false
 	}
 	if targets := pack(g, remote, ps, freeNow); targets != nil {
 		ps.startGroup(g, targets)
 		return true
 	}
-	return ps.guaranteed[g.job] && (ps.reserve(g, pack(g, remote, ps, freeLater)) ||
-		ps.reserve(g, ps.preempt(g, [][]*candidate{remote})))
+	if ps.guaranteed[g.job] && (ps.reserve(g, pack(g, remote, ps, freeLater)) ||
+		ps.reserve(g, ps.preempt(g, [][]*candidate{remote}))) {
+		ps.logWaiting(g, reserved)
+		return true
+	}
+	ps.logWaiting(g, "not enough free capacity, also on other racks")
+	return false
+}
+
+// waitLogInterval is the time after which a group that waits is logged, and logged again.
+const waitLogInterval = 5 * time.Second
+
+// logWaiting logs why a group does not start.
+func (ps *pass) logWaiting(g *group, reason string, fields ...any) {
+	waited := ps.now.Sub(g.readyAt)
+	if waited < waitLogInterval || ps.now.Sub(g.waitLoggedAt) < waitLogInterval {
+		return
+	}
+	g.waitLoggedAt = ps.now
+	ps.planner.logDecision(Decision{Event: "waiting", Job: g.job.ID, Reason: reason, Age: waited,
+		Fields: append([]any{"step", g.stepIndex, "tasks", g.size}, fields...)})
 }
 
 // headroomShare is the share of all accelerators that work of lower priorities leaves
@@ -340,8 +368,7 @@
 // the other workers may not have the capacity.
 func (ps *pass) candidateSets(g *group) (sets [][]*candidate, remote []*candidate) {
 	preferred, all := ps.eligibleCandidates(g)
-	s := g.step()
-	if s.DataRack == "" && (!s.SameRack || g.size == 1) {
+	if !g.needsRack() {
 		return [][]*candidate{preferred, all}, nil
 	}
 	sets = append(ps.localSets(g, preferred), ps.localSets(g, all)...)
@@ -405,19 +432,26 @@
 // its MaxGuaranteedWait is nearly over, and otherwise when it has waited longer than
 // the additional run time that remote tasks need.
 func (ps *pass) remoteAllowed(g *group, sets [][]*candidate) bool {
-	waited := ps.now.Sub(g.readyAt)
-	if ps.guaranteed[g.job] && waited > ps.planner.config.MaxGuaranteedWait-ps.planner.config.MaxStopTime-remoteStartMargin {
+	if ps.now.Sub(g.readyAt) > ps.remoteWait(g) {
 		return true
 	}
 	capacity := func(c *candidate) unit.Resources { return c.Capacity }
-	possible := false
 	for _, set := range sets {
 		if pack(g, set, ps, capacity) != nil {
-			possible = true
+			return false
 		}
 	}
-	cost := time.Duration((ps.planner.config.RemoteFactor - 1) * float64(ps.planner.expectedRunTime(g.job, *g.step())))
-	return !possible || waited > cost
+	return true
+}
+
+// remoteWait is how long a group waits for a rack that is large enough for it.
+func (ps *pass) remoteWait(g *group) time.Duration {
+	config := ps.planner.config
+	wait := time.Duration((config.RemoteFactor - 1) * float64(ps.planner.expectedRunTime(g.job, *g.step())))
+	if ps.guaranteed[g.job] {
+		wait = min(wait, config.MaxGuaranteedWait-config.MaxStopTime-remoteStartMargin)
+	}
+	return wait
 }
 
 // colocates is 1 when placing a task of the step on the worker would put a
--- a/lib/planner/planner_test.go
+++ b/lib/planner/planner_test.go
@@ -421,3 +421,26 @@
 	is.Equal(len(orders), 1)
 	is.Equal(orders[0].Worker, failing)
 }
+
+// TestWaitingGangIsLogged guards against a gang that waits without a line that says why.
+func TestWaitingGangIsLogged(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, 12)
+	whole := unit.Resources{Accelerators: 8, Cores: unit.Core}
+	submitAndPlan(s, singleStepJob(1, task.Step{Tasks: 8, Gang: true, Demand: whole}), 1)
+	submitAndPlan(s, singleStepJob(2, task.Step{Tasks: 6, Gang: true, SameRack: true, Demand: whole, Estimate: time.Minute}), 1)
+	var waiting []planner.Decision
+	for range 9 {
+		s.now = s.now.Add(time.Second)
+		s.planner.Plan(s.now)
+		for _, d := range s.planner.TakeChanges().Decisions {
+			if d.Event == "waiting" {
+				waiting = append(waiting, d)
+			}
+		}
+	}
+	is.Equal(len(waiting), 1)
+	is.Equal(waiting[0].Job, singleStepJob(2, task.Step{}).ID)
+	is.Equal(waiting[0].Reason, "no rack has enough free capacity")
+	is.Equal(waiting[0].Fields, []any{"step", 0, "tasks", 6, "remoteAfterMs", int64(120000)})
+}
