Bound the wait for a rack while most of the capacity is free

The gang may run on several racks after RemoteFactor - 1 times its expected run time, which comes from the submitter's estimate: 37.8 s for a run of 5.7 s.

Change: when a job has no runs and no resource of its service has been used by more than 0.6 for two seconds, its groups that need a rack may run away from it. The bound does not depend on the estimate, and remote runs then take no capacity that others need.

Why it works: the rule counts three seconds in which the use is below a half and nothing of the job runs; after two of them the gang starts.

Ruled out: headroom (not required in these seconds; it needs 12% of the accelerators), labels (none), workers that are left out (all 42 were candidates), capacity that is still counted for runs that are gone (the planner itself counted the places as free).

Test: TestWaitForRackWhileMostCapacityIsFree failed before in its first case.

--- a/lib/planner/job.go
+++ b/lib/planner/job.go
@@ -46,6 +46,7 @@
 	failureCounted bool      // the failure of the run in progress is in failures
 	readyAt        time.Time // since when the group could start
 	startedAt      time.Time
+	lowUseSince    time.Time   // since when the group waits for a rack during low use, or zero
 	waitLoggedAt   time.Time   // when it was last logged that the group waits
 	failedOn       []id.Worker // workers on which a run of the group has failed
 }
@@ -366,3 +367,15 @@
 func (j *job) hasServiceTasks() bool {
 	return slices.ContainsFunc(j.Steps, func(s task.Step) bool { return s.Service })
 }
+
+// hasRuns reports whether a task of the job has a run in progress.
+func (j *job) hasRuns() bool {
+	for _, o := range j.openOccurrences {
+		for _, groups := range o.steps {
+			if slices.ContainsFunc(groups, func(g *group) bool { return len(g.members) > 0 }) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/lib/planner/plan.go
+++ b/lib/planner/plan.go
@@ -429,10 +429,11 @@
 
 // remoteAllowed reports whether a group may run away from its data or over several
 // racks: immediately when no rack is large enough for it, for a guaranteed job when
-// its MaxGuaranteedWait is nearly over, and otherwise when it has waited longer than
+// its MaxGuaranteedWait is nearly over, when its job has no runs although most of the
+// capacity has been free for lowUseWait, and otherwise when it has waited longer than
 // the additional run time that remote tasks need.
 func (ps *pass) remoteAllowed(g *group, sets [][]*candidate) bool {
-	if ps.now.Sub(g.readyAt) > ps.remoteWait(g) {
+	if ps.now.Sub(g.readyAt) > ps.remoteWait(g) || ps.waitsDuringLowUse(g) {
 		return true
 	}
 	capacity := func(c *candidate) unit.Resources { return c.Capacity }
@@ -454,6 +455,43 @@
 	return wait
 }
 
+const (
+	// lowUseWait is how long a job without runs waits for a rack while most of the
+	// capacity of its service is free. The platform requires its start within three
+	// seconds. Remote runs then take no capacity that others need, and the run time
+	// that is expected from the submitter's estimate may be several times too long.
+	lowUseWait = 2 * time.Second
+	// lowUseShare is the share of each resource up to which use is low. It is above
+	// the half of the platform's rule, as a run counts here until its end is reported.
+	lowUseShare = 0.6
+)
+
+// waitsDuringLowUse reports whether a group of a job without runs has waited for
+// lowUseWait while the use of its service was low.
+func (ps *pass) waitsDuringLowUse(g *group) bool {
+	if g.job.hasRuns() || !ps.isLowUse(g.job.queue.Service) {
+		g.lowUseSince = time.Time{}
+		return false
+	}
+	if g.lowUseSince.Before(g.readyAt) {
+		g.lowUseSince = ps.now
+	}
+	return ps.now.Sub(g.lowUseSince) >= lowUseWait
+}
+
+// isLowUse reports whether no resource of a service's workers is used by more than
+// lowUseShare.
+func (ps *pass) isLowUse(service id.Service) bool {
+	var used, all unit.Resources
+	for _, c := range ps.candidates {
+		if c.Service == service {
+			used, all = used.Plus(c.Capacity.Minus(c.free)), all.Plus(c.Capacity)
+		}
+	}
+	return float64(used.Accelerators) <= lowUseShare*float64(all.Accelerators) &&
+		float64(used.Cores) <= lowUseShare*float64(all.Cores) && float64(used.Memory) <= lowUseShare*float64(all.Memory)
+}
+
 // colocates is 1 when placing a task of the step on the worker would put a
 // best-effort task beside a service task with a tail target, and 0 otherwise.
 func colocates(s *task.Step, w *worker) int {
--- a/lib/planner/planner_test.go
+++ b/lib/planner/planner_test.go
@@ -444,3 +444,41 @@
 	is.Equal(waiting[0].Reason, "no rack has enough free capacity")
 	is.Equal(waiting[0].Fields, []any{"step", 0, "tasks", 6, "remoteAfterMs", int64(120000)})
 }
+
+// TestWaitForRackWhileMostCapacityIsFree guards against a gang that waits for a rack for as
+// long as its estimate allows, with most of the capacity unused.
+func TestWaitForRackWhileMostCapacityIsFree(t *testing.T) {
+	whole := unit.Resources{Accelerators: 8, Cores: unit.Core}
+	for _, test := range []struct {
+		name     string
+		occupied int // workers of each of the four racks, which have six each
+		step     task.Step
+		atOnce   int // starts
+		later    int // starts after two seconds
+	}{
+		{"most capacity is free", 2, task.Step{Tasks: 5, Gang: true, SameRack: true}, 0, 5},
+		{"most capacity is in use", 4, task.Step{Tasks: 3, Gang: true, SameRack: true}, 0, 0},
+		{"other tasks of the job run", 0, task.Step{Tasks: 7, DataRack: "r-0"}, 6, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSim(t, 1, 24)
+			for i := range 4 {
+				occupant := task.Step{Tasks: max(1, test.occupied), DataRack: id.Rack(fmt.Sprintf("r-%d", i)), Demand: whole, Estimate: time.Minute}
+				if test.occupied > 0 {
+					submitAndPlan(s, singleStepJob(10+i, occupant), 1)
+				}
+			}
+			test.step.Demand, test.step.Estimate = whole, time.Minute
+			is.Equal(len(submitAndPlan(s, singleStepJob(1, test.step), 1)), test.atOnce)
+			startsAfter := func(d time.Duration) int {
+				s.now = s.now.Add(d)
+				s.planner.Plan(s.now)
+				return countOrders(s.planner.TakeChanges().Orders, planner.Start)
+			}
+			is.Equal(startsAfter(1900*time.Millisecond), 0)
+			is.Equal(startsAfter(200*time.Millisecond), test.later)
+			is.Equal(startsAfter(8*time.Second), 0)
+		})
+	}
+}
