Count no report while a start is sent again

What callers saw: two runs of one task could run at the same time.

Cause: the report that a run has ended could arrive while its start was sent again. The task then started elsewhere, and a worker that had just restarted carried out the second attempt. The check before each attempt leaves a gap of one call; the model of restarts has a counterexample for it.

Change: from the first attempt without an answer until the start is delivered or given up, reports are discarded. A report under a new fence follows, also when a later attempt was accepted.

Ruled out: sending a start once; one lost answer would then cost a new run.

Measured: TestReportDuringRetryDoesNotCount fails on the previous code and passes now; race tests of the controller pass.

--- a/lib/controller/link.go
+++ b/lib/controller/link.go
@@ -94,6 +94,7 @@
 	unlistedAt     time.Time   // when the worker left the platform's list, or zero
 	delivering     planner.Order
 	deliveredEnd   bool // a report has listed the end of the run that delivering is about
+	retrying       bool // an attempt to deliver a start had no answer
 }
 
 func newLink(ctx context.Context, s *session, w task.Worker) *link {
@@ -324,7 +325,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
-	case l.fence != req.Fence:
+	case l.fence != req.Fence, l.retrying:
 		return nil
 	case report.Incarnation < l.target.Incarnation:
 		// The list has a later incarnation. If that is wrong, runs must not be kept on
@@ -366,6 +367,25 @@
 	l.health.Observe(err)
 }
 
+// holdReports discards reports until a start that had no answer is delivered or
+// given up: if its run ended and the worker restarted, the next attempt would start a
+// run that the planner has ended.
+func (l *link) holdReports(o planner.Order) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.retrying = o.Kind == planner.Start
+}
+
+// releaseReports requests a report under a new fence if reports were held.
+func (l *link) releaseReports() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.retrying {
+		l.retrying = false
+		l.raiseFence("a start was not answered")
+	}
+}
+
 type reportEvent struct {
 	link   *link
 	sent   time.Time
@@ -431,14 +451,11 @@
 			return
 		}
 		result = planner.Unanswered
+		l.holdReports(o)
 		klog.InfoS("order not answered", "event", "order", "kind", o.Kind, "task", o.Task.String(), "run", o.Run,
 			"worker", o.Worker, "attempt", attempt+1, "cause", err)
 	}
-	if o.Kind == planner.Start && result == planner.Unanswered {
-		l.mu.Lock()
-		l.raiseFence("a start was not answered")
-		l.mu.Unlock()
-	}
+	l.releaseReports()
 	if result != planner.Accepted {
 		klog.InfoS("order not accepted", "event", "order", "kind", o.Kind, "task", o.Task.String(), "run", o.Run,
 			"worker", o.Worker, "answer", result)
--- a/lib/controller/link_test.go
+++ b/lib/controller/link_test.go
@@ -151,3 +151,39 @@
 		is.Equal(p.Until, task.ClockMillis(0))
 	}
 }
+
+// TestReportDuringRetryDoesNotCount guards against a second run of a task whose first run
+// is reported as ended while its start is sent again, to a worker that has just restarted.
+func TestReportDuringRetryDoesNotCount(t *testing.T) {
+	is := is.New(t)
+	workers := newFakeWorkers()
+	workers.startResults = []planner.OrderResult{planner.Unanswered}
+	attempts := 0
+	workers.beforeStart = func(o planner.Order) {
+		if attempts++; attempts != 2 {
+			return
+		}
+		workers.mu.Lock()
+		workers.runs[o.Worker] = []task.ActiveRun{{Task: o.Task, Run: o.Run}}
+		workers.end(o.Worker, task.EndStopped)
+		workers.mu.Unlock()
+		workers.await(t, "the report of the end", func() bool { return workers.reported[1] })
+		time.Sleep(100 * time.Millisecond) // the planner would end the run now
+		workers.mu.Lock()
+		workers.ends[o.Worker], workers.incarnation = nil, testWorkers()[0].Incarnation+1
+		workers.mu.Unlock()
+	}
+	c := serve(t, newFakeStore(), workers)
+	is.Equal(c.submit(jobA).Outcome, controller.OK)
+	workers.await(t, "the start", func() bool { return len(workers.started) > 0 })
+	workers.mu.Lock()
+	polls := len(workers.polls)
+	workers.mu.Unlock()
+	workers.await(t, "three more polls", func() bool { return len(workers.polls) > polls+2 })
+	workers.finish("worker")
+	workers.await(t, "the acknowledgement", func() bool { return workers.acked == 2 })
+	is.Equal(c.query(jobA).State, task.Completed)
+	workers.mu.Lock()
+	defer workers.mu.Unlock()
+	is.Equal(len(workers.started), 1)
+}
--- a/spec/restart.pml
+++ b/spec/restart.pml
@@ -11,8 +11,8 @@
  * Parts of the model, the code that they stand for, and the rules of the fix there:
  *   learn          link.update, link.pollOnce: the link takes a new fence, and no
  *                  report counts that was requested under an earlier one
- *   send, answer   link.deliver: a start is sent once; when it has no answer, the
- *                  link takes a new fence
+ *   send, answer   link.deliver, without its retries (see README.md): when a start
+ *                  has no answer, the link takes a new fence
  *   stop           Planner.stopGroup, link.deliver
  *   poll, resp     link.pollOnce, link.pollFailed: the first poll after one without
  *                  an answer extends no lease and acknowledges nothing; a poll
