Add failing tests for starts that the next incarnation of a worker carries out late

Cause: a review and a model of restarts found three ways that remain. A worker forgets fences and stops when it restarts. If the platform delivers a delayed start to the next incarnation before the owner has called it, the start takes effect: after a retry had succeeded, after its stop was accepted, or after its lease had passed while the worker was partitioned.

The stand-in's first workers have been up for five minutes, so that a deadline on their clock does not save the next incarnation.

Ruled out: a fence or a stop, which the worker forgets.

--- a/lib/controller/link.go
+++ b/lib/controller/link.go
@@ -159,10 +159,10 @@
 	l.raiseFence("the worker has restarted")
 }
 
-// raiseFence ensures that no earlier call to the worker takes effect any more once
-// the worker has answered the next one: the worker may carry out a call seconds
-// later, also after a restart under the same id. Reports that were requested before
-// do not count. The lock is held.
+// raiseFence ensures that the present incarnation of the worker carries out no earlier
+// call once it has answered the next one. The platform may deliver a call seconds
+// late, also to an incarnation for which it was not meant. Reports that were
+// requested before do not count. The lock is held.
 func (l *link) raiseFence(reason string) {
 	l.fence = l.session.term.NextFence()
 	l.answered, l.awaitingReport = false, true
@@ -430,7 +430,7 @@
 		}
 		l.mu.Unlock()
 		if ended {
-			result = planner.Accepted // a worker that has restarted since would start the run again
+			result = planner.Accepted // a worker that has restarted since would carry out the order again
 			break
 		}
 		if !l.session.term.Valid() || now.After(o.SendDeadline()) || target.Incarnation != o.Incarnation || deadline == 0 {
--- a/lib/planner/worker.go
+++ b/lib/planner/worker.go
@@ -21,8 +21,9 @@
 	// between them, after which a worker is barred. One run in twenty fails by a fault
 	// of its task, so two failures in a row most likely have their cause in the worker.
 	failuresToBar = 2
-	// maxCallDelay bounds how long after it was sent a worker may carry out a call that it
-	// did not answer. The platform delays calls by up to 12 s.
+	// maxCallDelay bounds how long after it was ordered a start that had no answer may be
+	// carried out. The platform delays calls by up to 12 s, and an order is sent for up
+	// to orderLifetime.
 	maxCallDelay = 15 * time.Second
 	// stopRetryInterval is the time after which an unanswered order to stop is repeated.
 	stopRetryInterval = time.Second
@@ -165,9 +166,9 @@
 }
 
 // HandleReport updates the runs of a worker to its report, which answers a call that
-// was sent at sent. A report of an earlier incarnation is ignored. When the first report
-// of an incarnation was requested, no call to an earlier one may take effect any more:
-// runs of earlier incarnations that it does not list have ended.
+// was sent at sent. A report of an earlier incarnation is ignored. Runs of an earlier
+// incarnation that the report does not list have ended, so the caller must request the
+// first report of an incarnation with a fence that rules out calls to earlier ones.
 func (p *Planner) HandleReport(now, sent time.Time, report task.Report) {
 	w := p.ensureWorker(report.Worker)
 	if report.Incarnation < w.Incarnation {
--- a/standin/cooperative/fleet.go
+++ b/standin/cooperative/fleet.go
@@ -33,7 +33,10 @@
 const (
 	maxLease = 6 * time.Second
 	// maxClockDrift is the share by which the clock of a worker may be slow.
-	maxClockDrift    = 0.02
+	maxClockDrift = 0.02
+	// initialUptime is the time on the clock of a worker that starts with the deployment.
+	// A deadline on its clock is far in the future for its next incarnation.
+	initialUptime    = 5 * time.Minute
 	stopDuration     = 200 * time.Millisecond
 	gangStartTimeout = 3 * time.Second
 	// baseTailShare is the tail latency of a service task alone on its worker, as
--- /dev/null
+++ b/standin/cooperative/late_call_test.go
@@ -0,0 +1,82 @@
+package cooperative_test
+
+import (
+	"testing"
+	"time"
+
+	"bronzewinch.dev/standin/cooperative"
+)
+
+const lateJob = "00000000000000aa"
+
+// newLateDeployment returns a deployment of two workers with the index of the one on which
+// a task with 7 GPUs fits, and that of the other. Another job takes 2 GPUs there for otherRunTime.
+func newLateDeployment(t *testing.T, otherRunTime time.Duration) (d *cooperative.Deployment, worker, other int) {
+	t.Helper()
+	d = newDeployment(t, 1, 2)
+	other = startJob(t, d, "00000000000000bb", cooperative.Step{Count: 1, GPU: 2, RunTime: otherRunTime})
+	return d, 1 - other, other
+}
+
+// submitLateJob submits a job whose start gets no answer and is carried out after delay.
+func submitLateJob(t *testing.T, d *cooperative.Deployment, worker int, delay, runTime time.Duration) {
+	t.Helper()
+	d.Cloud.SetLateCalls(worker, lateCalls(cooperative.StartPath, delay))
+	submitJob(t, d, lateJob, cooperative.Step{Count: 1, GPU: 7, RunTime: runTime})
+	awaitLog(t, d.Nodes[0], `event="start" job="`+lateJob)
+	time.Sleep(200 * time.Millisecond)
+}
+
+// awaitLateJob waits until the task of the job runs on a worker.
+func awaitLateJob(t *testing.T, d *cooperative.Deployment, worker int, limit time.Duration) {
+	t.Helper()
+	for end := time.Now().Add(limit); d.Cloud.WorkerOf(lateJob+".0.0.0") != worker; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("the task is not on worker %d after %v", worker, limit)
+		}
+	}
+}
+
+func reportViolations(t *testing.T, d *cooperative.Deployment) {
+	t.Helper()
+	for _, v := range d.Fleet.Violations() {
+		t.Error(v)
+	}
+}
+
+// TestRetriedStartAfterRestart guards against a first attempt that a restarted worker carries out after a retry has succeeded.
+func TestRetriedStartAfterRestart(t *testing.T) {
+	t.Parallel()
+	d, worker, _ := newLateDeployment(t, 20*second)
+	submitLateJob(t, d, worker, 4*second, 300*time.Millisecond)
+	d.Cloud.SetLateCalls(worker, nil)
+	awaitState(t, d, 1, lateJob, "completed")
+	time.Sleep(1300 * time.Millisecond)
+	d.Cloud.RestartWorker(worker, cooperative.Restart{Downtime: 50 * time.Millisecond, RegisterDelay: 6 * second})
+	time.Sleep(3 * second)
+	reportViolations(t, d)
+}
+
+// TestGivenUpStartAfterRestart guards against a start that a restarted worker carries out after its stop was accepted.
+func TestGivenUpStartAfterRestart(t *testing.T) {
+	t.Parallel()
+	d, worker, other := newLateDeployment(t, 600*time.Millisecond)
+	submitLateJob(t, d, worker, 9*second, 8*second)
+	awaitLateJob(t, d, other, 9*second)
+	d.Cloud.RestartWorker(worker, cooperative.Restart{Downtime: 50 * time.Millisecond, RegisterDelay: 9 * second})
+	time.Sleep(6 * second)
+	reportViolations(t, d)
+}
+
+// TestGivenUpStartAfterHiddenRestart guards against a start that a worker carries out after a restart behind a partition.
+func TestGivenUpStartAfterHiddenRestart(t *testing.T) {
+	t.Parallel()
+	d, worker, other := newLateDeployment(t, 6*second)
+	submitLateJob(t, d, worker, 11*second, 6*second)
+	d.WorkerProxies[worker].SetMode(cooperative.BlockAll)
+	d.Cloud.CutOffWorker(worker, true)
+	d.Cloud.RestartWorker(worker, cooperative.Restart{Downtime: second, RegisterDelay: second})
+	awaitLateJob(t, d, other, 20*second)
+	time.Sleep(5 * second)
+	reportViolations(t, d)
+}
