Add a test in which a lease on a slow clock outlasts its computed end

The owner extrapolates a worker's clock from its last answer at full speed. It does not poll an idle worker, so that after three minutes a clock that is 2% slow is 3.6 s behind the estimate. A start that is carried out 4 s late then holds a lease to the worker's maximum, counted from then. The owner counts from the order, and starts the task elsewhere before that lease ends. Cloud.DelayClock sets the clock back by what it would lose. TestLateStartAfterLease runs in parallel with it. Ruled out: the late start alone.

--- a/standin/cooperative/cloud.go
+++ b/standin/cooperative/cloud.go
@@ -212,6 +212,19 @@
 	})
 }
 
+// DelayClock sets the clock of the worker on a VM back by what it loses in d, so
+// that a test need not wait for it. The worker must not hold a lease.
+func (c *Cloud) DelayClock(index int, d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fleet.mu.Lock()
+	defer c.fleet.mu.Unlock()
+	v := c.vms[index]
+	if w := v.slot.worker.Load(); w != nil {
+		w.epoch = w.epoch.Add(time.Duration(v.clockDrift * float64(d)))
+	}
+}
+
 // SetLateCalls sets which calls to the worker on a VM are carried out late; nil
 // means none.
 func (c *Cloud) SetLateCalls(index int, l *LateCalls) {
--- a/standin/cooperative/proxy_test.go
+++ b/standin/cooperative/proxy_test.go
@@ -11,8 +11,7 @@
 	"github.com/matryer/is"
 )
 
-// TestBlockRepliesDeliversRequests guards against a one-way partition in the wrong
-// direction, in which calls are held back instead of their replies.
+// TestBlockRepliesDeliversRequests guards against a one-way partition in the wrong direction.
 func TestBlockRepliesDeliversRequests(t *testing.T) {
 	is := is.New(t)
 	var requests atomic.Int32
--- a/standin/cooperative/restart_test.go
+++ b/standin/cooperative/restart_test.go
@@ -48,8 +48,7 @@
 	return &cooperative.LateCalls{Paths: []string{path}, Share: 1, MinDelay: delay, MaxDelay: delay}
 }
 
-// TestTaskRunsOnceAcrossWorkerRestart guards against a start that the next
-// incarnation of a worker carries out while its task also starts elsewhere.
+// TestTaskRunsOnceAcrossWorkerRestart covers starts that reach the next incarnation of a worker.
 func TestTaskRunsOnceAcrossWorkerRestart(t *testing.T) {
 	const (
 		job        = "00000000000000aa"
@@ -101,9 +100,9 @@
 	}
 }
 
-// TestLateStartAfterLease guards against an unanswered start that a worker carries
-// out after its lease has lapsed and it has a new one, while its task runs elsewhere.
+// TestLateStartAfterLease guards against a start that a worker carries out under a later lease.
 func TestLateStartAfterLease(t *testing.T) {
+	t.Parallel()
 	const (
 		job   = "00000000000000aa"
 		delay = 11 * second // longer than the lease that the start may have granted
@@ -130,8 +129,7 @@
 	checkInvariants(t, d)
 }
 
-// TestNewOwnerKeepsRunsOfRestartedWorker guards against a new owner that ends the
-// runs of a worker's current incarnation, because the list still has the former one.
+// TestNewOwnerKeepsRunsOfRestartedWorker covers a list that still has the former incarnation.
 func TestNewOwnerKeepsRunsOfRestartedWorker(t *testing.T) {
 	const job, largeOther = "00000000000000aa", "00000000000000b1"
 	d := newDeployment(t, 2, 2)
@@ -154,3 +152,29 @@
 	awaitState(t, d, 1, job, "completed")
 	checkInvariants(t, d)
 }
+
+// TestLeaseOnSlowClock guards against a lease that outlasts what the owner computes.
+func TestLeaseOnSlowClock(t *testing.T) {
+	t.Parallel()
+	const (
+		job        = "00000000000000aa"
+		slowWorker = 2
+		idleTime   = 180 * second
+		startDelay = 4 * second
+	)
+	d := newDeployment(t, 1, 3)
+	for i := range slowWorker {
+		startJob(t, d, []string{"00000000000000b0", "00000000000000b1"}[i], cooperative.Step{Count: 1, GPU: 8, RunTime: 30 * second})
+	}
+	time.Sleep(idleTime * 2 / 100) // so that the clock does not go back behind the last report
+	d.Cloud.DelayClock(slowWorker, idleTime)
+	d.Cloud.SetLateCalls(slowWorker, lateCalls(cooperative.StartPath, startDelay))
+	submitJob(t, d, job, cooperative.Step{Count: 1, GPU: 1, RunTime: 12 * second})
+	awaitLog(t, d.Nodes[0], `event="start" job="`+job)
+	time.Sleep(200 * time.Millisecond)
+	d.WorkerProxies[slowWorker].SetMode(cooperative.BlockAll)
+	d.Cloud.CutOffWorker(slowWorker, true)
+	d.Fleet.CompleteTask("00000000000000b0.0.0.0")
+	time.Sleep(11 * second) // longer than the lease that the start grants
+	checkInvariants(t, d)
+}
--- a/standin/cooperative/worker_test.go
+++ b/standin/cooperative/worker_test.go
@@ -44,9 +44,7 @@
 	return f
 }
 
-// TestRejectionOrder guards against a worker that checks an order in another
-// sequence than the protocol (fence, late, old, room), or that measures a start
-// against its own deadline although the worker has a later one.
+// TestRejectionOrder checks the protocol's sequence: fence, late (without any lease), old, room.
 func TestRejectionOrder(t *testing.T) {
 	const single, gang = testJob + ".0.0.0", testJob + ".0.1.0"
 	f := testFleet()
@@ -77,8 +75,7 @@
 	}
 }
 
-// TestSlowClockLengthensLease guards against leases that do not run on the
-// worker's clock.
+// TestSlowClockLengthensLease guards against leases that do not run on the worker's clock.
 func TestSlowClockLengthensLease(t *testing.T) {
 	is := is.New(t)
 	w := testFleet().NewWorker("w", 0.5, nil)
@@ -95,8 +92,7 @@
 	is.Equal(running(), 0)
 }
 
-// TestChecksSpanWorkersAndIncarnations guards against checks that miss two runs of
-// a task, or that report runs of a worker that has crashed.
+// TestChecksSpanWorkersAndIncarnations guards against missed and false violations of TWICE.
 func TestChecksSpanWorkersAndIncarnations(t *testing.T) {
 	const single = testJob + ".0.0.0"
 	start := func(w *Worker, task string, run uint32) {
@@ -169,8 +165,7 @@
 	}
 }
 
-// TestGangBreaksWithItsWorker guards against members that go on running after the
-// worker of another member has crashed.
+// TestGangBreaksWithItsWorker guards against members that run on after another's worker crashed.
 func TestGangBreaksWithItsWorker(t *testing.T) {
 	f := testFleet()
 	a, b := f.NewWorker("a", 0, nil), f.NewWorker("b", 0, nil)
@@ -183,8 +178,7 @@
 	}
 }
 
-// TestLateCallReachesNextIncarnation guards against late calls that get an answer,
-// that are lost when their worker restarts under its id, or that reach another id.
+// TestLateCallReachesNextIncarnation also covers a new id, for which the call is dropped.
 func TestLateCallReachesNextIncarnation(t *testing.T) {
 	const delay = 100 * time.Millisecond
 	for _, newID := range []bool{false, true} {
