--- a/standin/cooperative/cloud.go
+++ b/standin/cooperative/cloud.go
@@ -144,6 +144,9 @@
 	}
 	v.upkeepWave, v.down = 0, false
 	w := c.fleet.NewWorker(fmt.Sprintf("i-%s-%d", v.name, v.generation), v.clockDrift, v.former)
+	if v.former == nil && v.generation == 1 {
+		w.epoch = w.epoch.Add(-initialUptime)
+	}
 	v.former = w
 	v.slot.worker.Store(w)
 	if registerDelay == 0 {
--- a/standin/cooperative/worker.go
+++ b/standin/cooperative/worker.go
@@ -41,9 +41,7 @@
 	now := time.Now()
 	w := &Worker{ID: id, fleet: f, startMillis: now.UnixMilli(), epoch: now, clockDrift: clockDrift, runs: make(map[string]*run),
 		highestEnded: make(map[string]uint32), changed: make(chan struct{})}
-	if former == nil {
-		w.epoch = now.Add(-initialUptime)
-	} else {
+	if former != nil {
 		w.formerEndSeq = max(former.lastEndSeq, former.formerEndSeq)
 	}
 	f.workers[w] = struct{}{}
