Name the wait for a late start after a restart, and say what restart tests guard against

Change: mayStartLate holds the condition; it applies to a known restart only. Test comments name the failure.

--- a/lib/planner/worker.go
+++ b/lib/planner/worker.go
@@ -459,10 +459,9 @@
 	for _, w := range p.workers {
 		if len(w.members) > 0 && now.After(w.leaseExpiry) {
 			for _, m := range slices.Clone(w.members) {
-				if m.incarnation != w.Incarnation && !now.After(p.config.LeaseExpiry(m.orderedAt.Add(maxCallDelay))) {
-					continue
+				if !p.mayStartLate(now, m) {
+					p.endMember(now, m, task.EndLost, "", "the worker did not answer before its lease expired")
 				}
-				p.endMember(now, m, task.EndLost, "", "the worker did not answer before its lease expired")
 			}
 		}
 	}
@@ -483,6 +482,13 @@
 	}
 }
 
+// mayStartLate reports whether a worker that has restarted may still carry out the start
+// of a run, or still have the lease that the start granted.
+func (p *Planner) mayStartLate(now time.Time, m *member) bool {
+	restarted := m.worker.Incarnation != 0 && m.incarnation != m.worker.Incarnation
+	return restarted && !now.After(p.config.LeaseExpiry(m.orderedAt.Add(maxCallDelay)))
+}
+
 // runTimeRatio is the moving geometric mean of the ratios between the run times of a
 // queue and the submitters' estimates. Estimates are wrong by factors, so an arithmetic
 // mean would be dominated by the few that are far too low.
--- a/standin/cooperative/restart_test.go
+++ b/standin/cooperative/restart_test.go
@@ -48,7 +48,7 @@
 	return &cooperative.LateCalls{Paths: []string{path}, Share: 1, MinDelay: delay, MaxDelay: delay}
 }
 
-// TestTaskRunsOnceAcrossWorkerRestart covers starts that reach the next incarnation of a worker.
+// TestTaskRunsOnceAcrossWorkerRestart guards against a second run while a restarted worker carries out the start of the first.
 func TestTaskRunsOnceAcrossWorkerRestart(t *testing.T) {
 	const (
 		job        = "00000000000000aa"
@@ -129,7 +129,7 @@
 	checkInvariants(t, d)
 }
 
-// TestNewOwnerKeepsRunsOfRestartedWorker covers a list that still has the former incarnation.
+// TestNewOwnerKeepsRunsOfRestartedWorker guards against runs that end because the list still has the former incarnation.
 func TestNewOwnerKeepsRunsOfRestartedWorker(t *testing.T) {
 	const job, largeOther = "00000000000000aa", "00000000000000b1"
 	d := newDeployment(t, 2, 2)
