State the wait for a worker, the fence check and a restarted worker once

Cause: the last read found three things written twice: polls compared the fence in two methods, tests waited for a task on a worker in three loops, and six planner tests built the entry of a restarted worker by hand. The tests of late calls had a weaker check of violations than the other tests of the package.

Change: pollFailed and acceptReport compare the fence, awaitWorker and restartedWorker replace the copies, and the tests of late calls use checkInvariants, which audits the logs too. A wait that ran out in TestLateStartAfterLease is a failure now.

Ruled out: joining the setups of TestStopIsRepeated and TestStopReachesRestartedWorker, which are alike by shape only.

--- a/lib/controller/link.go
+++ b/lib/controller/link.go
@@ -271,12 +271,11 @@
 	callCtx, stop := context.WithTimeout(callCtx, req.Wait+pollTimeoutMargin)
 	defer stop()
 	report, err := l.session.controller.config.Workers.Poll(callCtx, target, req)
-	if l.superseded(req) {
-		return true
+	if ctx.Err() != nil {
+		return false
 	}
 	if err != nil {
-		l.pollFailed(ctx, err)
-		return false
+		return l.pollFailed(req, err)
 	}
 	if e := l.acceptReport(now, req, report); e != nil {
 		if err := l.session.events.Put(e); err != nil && ctx.Err() == nil {
@@ -312,13 +311,6 @@
 	return l.target, req
 }
 
-// superseded reports whether the fence has risen since a poll was prepared.
-func (l *link) superseded(req PollRequest) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.fence != req.Fence
-}
-
 // acceptReport records the answer to a poll that was sent at sent. It returns nil if
 // the report does not count.
 func (l *link) acceptReport(sent time.Time, req PollRequest, report task.Report) *reportEvent {
@@ -355,16 +347,18 @@
 	return e
 }
 
-// pollFailed records an unanswered poll. That poll may still extend the lease,
-// so later polls do not extend it until one is answered.
-func (l *link) pollFailed(ctx context.Context, err error) {
-	if ctx.Err() != nil {
-		return
-	}
+// pollFailed records an unanswered poll, and reports whether the next one can follow at
+// once because it has a new fence. The poll may still extend the lease, so later polls
+// do not extend it until one is answered.
+func (l *link) pollFailed(req PollRequest, err error) bool {
 	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.fence != req.Fence {
+		return true
+	}
 	l.answered = false
-	l.mu.Unlock()
 	l.health.Observe(err)
+	return false
 }
 
 // holdReports discards reports until a start that had no answer is delivered or
--- a/lib/planner/life_test.go
+++ b/lib/planner/life_test.go
@@ -93,8 +93,7 @@
 	requests := s.planner.TakeChanges().AdviceRequests
 	is.Equal(len(requests), 1)
 	s.planner.HandleAdvice(requests[0], []planner.Ticket{{Worker: "w-00", Value: "ticket"}}, s.now.Add(time.Minute), nil)
-	restarted := s.workers["w-00"].Worker
-	restarted.Incarnation = 2
+	restarted := s.restartedWorker("w-00")
 	s.planner.UpdateWorker(s.now, restarted)
 	s.planner.HandleReport(s.now, s.now, task.Report{Worker: restarted.ID, Incarnation: 2})
 	s.now = s.now.Add(2 * time.Second)
--- a/lib/planner/planner_test.go
+++ b/lib/planner/planner_test.go
@@ -180,8 +180,7 @@
 	is := is.New(t)
 	s := newSim(t, 1, 1)
 	first := submitAndPlan(s, singleStepJob(1, task.Step{Tasks: 1}), 1)[0]
-	restarted := s.workers[first.Worker].Worker
-	restarted.Incarnation = 2
+	restarted := s.restartedWorker(first.Worker)
 	s.planner.UpdateWorker(s.now, restarted)
 	s.planner.Plan(s.now)
 	is.Equal(len(s.planner.TakeChanges().Orders), 0) // the new incarnation may run it until it reports
--- a/lib/planner/restart_test.go
+++ b/lib/planner/restart_test.go
@@ -4,12 +4,20 @@
 	"testing"
 	"time"
 
+	"bronzewinch.dev/lib/id"
 	"bronzewinch.dev/lib/planner"
 	"bronzewinch.dev/lib/task"
 
 	"github.com/matryer/is"
 )
 
+// restartedWorker returns the list entry of a worker that has restarted under its id.
+func (s *sim) restartedWorker(name id.Worker) task.Worker {
+	w := s.workers[name].Worker
+	w.Incarnation = 2
+	return w
+}
+
 // TestStartOnRestartedWorkerIsNotRepeated guards against a second run of a task whose
 // start was carried out by a later incarnation of the worker than the one it was sent to.
 func TestStartOnRestartedWorkerIsNotRepeated(t *testing.T) {
@@ -25,8 +33,7 @@
 			s := newSim(t, 1, 2)
 			start := submitAndPlan(s, singleStepJob(1, task.Step{Tasks: 1}), 1)[0]
 			s.planner.HandleOrderResult(s.now, start, planner.Accepted)
-			restarted := s.workers[start.Worker].Worker
-			restarted.Incarnation = 2
+			restarted := s.restartedWorker(start.Worker)
 			test.restart(s, restarted)
 			s.planner.HandleReport(s.now, s.now, task.Report{Worker: start.Worker, Incarnation: 2,
 				Active: []task.ActiveRun{{Task: start.Task, Run: start.Run}}})
@@ -68,8 +75,7 @@
 	s := newSim(t, 1, 2)
 	start := submitAndPlan(s, singleStepJob(1, task.Step{Tasks: 1}), 1)[0]
 	s.planner.HandleOrderResult(s.now, start, planner.Unanswered)
-	restarted := s.workers[start.Worker].Worker
-	restarted.Incarnation = 2
+	restarted := s.restartedWorker(start.Worker)
 	s.planner.UpdateWorker(s.now, restarted)
 	s.planner.TakeChanges()
 	startsAfter := func(d time.Duration) int {
@@ -87,8 +93,7 @@
 // because the list names a later incarnation of its worker than the stored record.
 func TestRestoredRunOnRestartedWorker(t *testing.T) {
 	is := is.New(t)
-	restarted := newSim(t, 1, 1).workers["w-00"].Worker
-	restarted.Incarnation = 2
+	restarted := newSim(t, 1, 1).restartedWorker("w-00")
 	s := newSim(t, 1, 0)
 	j := singleStepJob(1, task.Step{Tasks: 1})
 	j.Queue = simQueue(1)
--- a/lib/planner/wave_test.go
+++ b/lib/planner/wave_test.go
@@ -322,8 +322,7 @@
 	s.planner.HandleUpkeepResult(s.now, orders[0], planner.UpkeepBegun)
 	list(time.Second, "")
 	is.True(!s.planner.HasOpenWaves())
-	restarted := s.workers["w-00"].Worker
-	restarted.Incarnation = 2
+	restarted := s.restartedWorker("w-00")
 	s.planner.UpdateWorker(s.now, restarted)
 	s.planner.HandleReport(s.now, s.now, task.Report{Worker: restarted.ID, Incarnation: 2})
 	s.planner.Tick(s.now)
@@ -337,8 +336,7 @@
 	s := newSim(t, 1, 2)
 	start := submitAndPlan(s, singleStepJob(1, task.Step{Tasks: 1, Estimate: time.Hour}), 1)[0]
 	s.planner.HandleOrderResult(s.now, start, planner.Accepted)
-	restarted := s.workers[start.Worker].Worker
-	restarted.Incarnation = 2
+	restarted := s.restartedWorker(start.Worker)
 	vm := id.VM("m" + string(start.Worker[1:]))
 	s.planner.AddWave(s.now, task.Wave{Number: firstWave, VMs: []id.VM{vm}, MaxDown: 1, TimeLimit: time.Second})
 	update := func(listed task.VM) planner.Changes {
--- a/standin/cooperative/late_call_test.go
+++ b/standin/cooperative/late_call_test.go
@@ -27,23 +27,6 @@
 	time.Sleep(200 * time.Millisecond)
 }
 
-// awaitLateJob waits until the task of the job runs on a worker.
-func awaitLateJob(t *testing.T, d *cooperative.Deployment, worker int, limit time.Duration) {
-	t.Helper()
-	for end := time.Now().Add(limit); d.Cloud.WorkerOf(lateJob+".0.0.0") != worker; time.Sleep(5 * time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("the task is not on worker %d after %v", worker, limit)
-		}
-	}
-}
-
-func reportViolations(t *testing.T, d *cooperative.Deployment) {
-	t.Helper()
-	for _, v := range d.Fleet.Violations() {
-		t.Error(v)
-	}
-}
-
 // TestRetriedStartAfterRestart guards against a first attempt that a restarted worker carries out after a retry has succeeded.
 func TestRetriedStartAfterRestart(t *testing.T) {
 	t.Parallel()
@@ -54,7 +37,7 @@
 	time.Sleep(1300 * time.Millisecond)
 	d.Cloud.RestartWorker(worker, cooperative.Restart{Downtime: 50 * time.Millisecond, RegisterDelay: 6 * second})
 	time.Sleep(3 * second)
-	reportViolations(t, d)
+	checkInvariants(t, d)
 }
 
 // TestGivenUpStartAfterRestart guards against a start that a restarted worker carries out after its stop was accepted.
@@ -62,10 +45,10 @@
 	t.Parallel()
 	d, worker, other := newLateDeployment(t, 600*time.Millisecond)
 	submitLateJob(t, d, worker, 9*second, 8*second)
-	awaitLateJob(t, d, other, 9*second)
+	awaitWorker(t, d, lateJob, other, 9*second)
 	d.Cloud.RestartWorker(worker, cooperative.Restart{Downtime: 50 * time.Millisecond, RegisterDelay: 9 * second})
 	time.Sleep(6 * second)
-	reportViolations(t, d)
+	checkInvariants(t, d)
 }
 
 // TestGivenUpStartAfterHiddenRestart guards against a start that a worker carries out after a restart behind a partition.
@@ -76,7 +59,7 @@
 	d.WorkerProxies[worker].SetMode(cooperative.BlockAll)
 	d.Cloud.CutOffWorker(worker, true)
 	d.Cloud.RestartWorker(worker, cooperative.Restart{Downtime: second, RegisterDelay: second})
-	awaitLateJob(t, d, other, 20*second)
+	awaitWorker(t, d, lateJob, other, 20*second)
 	time.Sleep(5 * second)
-	reportViolations(t, d)
+	checkInvariants(t, d)
 }
--- a/standin/cooperative/restart_test.go
+++ b/standin/cooperative/restart_test.go
@@ -42,6 +42,16 @@
 	}
 }
 
+// awaitWorker waits until the first task of a job runs on a worker.
+func awaitWorker(t *testing.T, d *cooperative.Deployment, job string, worker int, limit time.Duration) {
+	t.Helper()
+	for end := time.Now().Add(limit); d.Cloud.WorkerOf(job+".0.0.0") != worker; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("the task of job %s is not on worker %d after %v", job, worker, limit)
+		}
+	}
+}
+
 // lateCalls is the fault of a worker that carries out all calls of a path after a
 // delay.
 func lateCalls(path string, delay time.Duration) *cooperative.LateCalls {
@@ -117,9 +127,7 @@
 	time.Sleep(200 * time.Millisecond)
 	d.WorkerProxies[worker].SetMode(cooperative.BlockAll)
 	d.Cloud.CutOffWorker(worker, true)
-	for end := time.Now().Add(delay); d.Cloud.WorkerOf(job+".0.0.0") != other && time.Now().Before(end); {
-		time.Sleep(5 * time.Millisecond)
-	}
+	awaitWorker(t, d, job, other, delay)
 	d.Cloud.SetLateCalls(worker, lateCalls(cooperative.StopPath, delay))
 	d.WorkerProxies[worker].Reset() // the calls that were held back are lost
 	d.WorkerProxies[worker].SetMode(cooperative.Forward)
@@ -143,9 +151,7 @@
 	d.Cloud.RestartWorker(worker, cooperative.Restart{Downtime: 50 * time.Millisecond,
 		RegisterDelay: cooperative.HeartbeatInterval + cooperative.NoticeTime})
 	awaitLog(t, owner, `event="start" job="`+job+`" task="`+job+`.0.0.0" run=2`)
-	for d.Cloud.WorkerOf(job+".0.0.0") != worker {
-		time.Sleep(5 * time.Millisecond)
-	}
+	awaitWorker(t, d, job, worker, 5*second)
 	d.Fleet.CompleteTask(largeOther + ".0.0.0") // the task would now fit on the other worker
 	awaitState(t, d, 1, largeOther, "completed")
 	owner.Signal(syscall.SIGTERM)
