--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,5 @@
 # Builds the stand-ins of the review's scripts. It needs Go and no network.
 set -euo pipefail
 cd "$(dirname "$0")/standin"
+mkdir -p ../../target
 GOWORK=off GOFLAGS= go build -o ../../target/review-standin .
--- a/review/play.sh
+++ b/review/play.sh
@@ -3,10 +3,12 @@
 set -uo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
 folder=$(cd "$2" && pwd)
-temporary=$(mktemp -d)
-trap 'rm -rf "$temporary"' EXIT
 [ -x "$root/target/review-standin" ] && [ -x "$root/target/bronzewinchd" ] || exit 2
-"$root/target/review-standin" "$1" "$root" "$temporary" "$folder/record.txt"
-code=$?
+temporary=$(mktemp -d) || exit 2
+trap 'rm -rf "$temporary"' EXIT
+"$root/target/review-standin" "$1" "$root" "$temporary" "$folder/record.txt" &
+pid=$!
+trap 'kill "$pid"' INT TERM # the program ends the nodes that it started
+while wait "$pid"; code=$?; kill -0 "$pid" 2>/dev/null; do :; done
 if [ -n "${KEEP_LOGS:-}" ]; then cp "$temporary"/*.log "$KEEP_LOGS"/; fi
 exit "$code"
--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -385,3 +385,64 @@
 	}
 	return "", nil
 }
+
+// affinityCase has the worker of a lasting task leave. The rack of the task's data is full
+// of other lasting tasks; another rack is empty.
+func affinityCase(root, dir string, trouble bool) (string, error) {
+	workers := sameWorkers(12)
+	if err := start(root, dir, 3, workers); err != nil {
+		return "", err
+	}
+	w := world
+	lasting := func(count int) *Job {
+		return newJob(1, time.Hour, Step{Count: count, CPU: 8000, MemMB: 8000, GPU: 8, EstimateMS: 60000, Affinity: "r1-0", Lasts: true})
+	}
+	j := lasting(2)
+	if !w.submit(j) {
+		return "", fmt.Errorf("the job was not accepted")
+	}
+	for range 4 {
+		if !w.submit(lasting(1)) {
+			return "", fmt.Errorf("a job was not accepted")
+		}
+	}
+	time.Sleep(3 * time.Second)
+	var leaving *Worker
+	fleetMu.Lock()
+	for _, worker := range workers {
+		for _, r := range worker.runs {
+			if r.task == j.id+".0.0.1" {
+				leaving = worker
+			}
+		}
+	}
+	fleetMu.Unlock()
+	if leaving == nil {
+		return "", fmt.Errorf("the second task does not run")
+	}
+	if trouble {
+		leaving.leave(w.store, 3*time.Second)
+	}
+	const (
+		lastRunAge = 6 * time.Second // of the rule, for tasks that last
+		idleLimit  = 3 * time.Second
+		calm       = 4 * time.Second
+	)
+	for range 25 {
+		time.Sleep(time.Second)
+		fleetMu.Lock()
+		running, idle, empty := j.running, time.Since(j.lastBusy), 0
+		for _, worker := range workers {
+			if !worker.gone && len(worker.runs) == 0 {
+				empty++
+			}
+		}
+		left := leaving.left
+		fleetMu.Unlock()
+		logf("%d of 2 tasks run; %d workers are empty", running, empty)
+		if running < 2 && idle > lastRunAge+idleLimit && time.Since(left) > contactTime+calm+idleLimit {
+			return fmt.Sprintf("LOST: a task that lasts has not run for %.0f s, while %d workers are empty; its worker left %.0f s ago", idle.Seconds(), empty, time.Since(left).Seconds()), nil
+		}
+	}
+	return "", nil
+}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -118,6 +118,14 @@
 	s.put(key, b, 0)
 }
 
+// Remove removes a key as the platform does.
+func (s *Store) Remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev++
+	s.remove(key)
+}
+
 func (s *Store) put(key string, value []byte, lease uint64) {
 	i := item{Key: key, Value: value, Rev: s.rev, Created: s.rev, Lease: lease}
 	if old, ok := s.items[key]; ok {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -26,6 +26,7 @@
 	After      []int  `json:"after,omitempty"`
 	Gang       bool   `json:"gang,omitempty"`
 	Label      string `json:"constraints,omitempty"`
+	Affinity   string `json:"affinity,omitempty"`
 	Lasts      bool   `json:"long_running,omitempty"`
 	MayMiss    int    `json:"may_miss,omitempty"`
 }
@@ -100,6 +101,8 @@
 	changed chan struct{}
 	shed    bool // answers starts with 503
 	address string
+	left    time.Time // when it leaves, while it drains
+	gone    bool
 }
 
 func newWorker(n int, kind, rack string) *Worker {
@@ -138,6 +141,10 @@
 		return
 	}
 	fleetMu.Lock()
+	if w.gone {
+		fleetMu.Unlock()
+		panic(http.ErrAbortHandler) // breaks the connection
+	}
 	if c.Fence < w.fence {
 		fleetMu.Unlock()
 		reply(rw, 409, map[string]any{"clock_ms": w.clock().Milliseconds(), "reason": "fence"})
@@ -207,7 +214,11 @@
 	for _, e := range w.ends[:min(len(w.ends), 500)] {
 		finished = append(finished, []any{e.seq, e.task, e.number, e.how, ""})
 	}
-	return 200, map[string]any{"running": running, "finished": finished, "born": w.born}
+	body := map[string]any{"running": running, "finished": finished, "born": w.born}
+	if !w.left.IsZero() {
+		body["remaining_ms"] = max(0, time.Until(w.left).Milliseconds())
+	}
+	return 200, body
 }
 
 func (r *run) percent() int {
@@ -361,3 +372,26 @@
 	}
 	return 200, map[string]any{}
 }
+
+// leave drains the worker for a time; then it exits.
+func (w *Worker) leave(s *Store, drain time.Duration) {
+	logf("disruption: %s drains, and leaves in %v", w.id, drain)
+	entry := w.entry()
+	entry["state"] = "draining"
+	s.Write("servers/"+w.id, entry)
+	fleetMu.Lock()
+	w.left = time.Now().Add(drain)
+	close(w.changed)
+	w.changed = make(chan struct{})
+	fleetMu.Unlock()
+	time.AfterFunc(drain, func() {
+		fleetMu.Lock()
+		for _, r := range w.runs {
+			w.endRun(r, "lapsed")
+		}
+		w.gone = true
+		fleetMu.Unlock()
+		s.Remove("servers/" + w.id)
+		logf("%s has left", w.id)
+	})
+}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -14,7 +14,6 @@
 	"path/filepath"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -212,7 +211,6 @@
 	cmd := exec.Command("target/bronzewinchd", "-platform", "-metrics", "9464")
 	cmd.Dir, cmd.Stdout, cmd.Stderr = n.world.root, log, log
 	cmd.Env = []string{"BRONZEWINCH_BOOT=" + n.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + n.world.dir}
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
