--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -385,13 +385,28 @@
 	w.changed = make(chan struct{})
 	fleetMu.Unlock()
 	time.AfterFunc(drain, func() {
-		fleetMu.Lock()
-		for _, r := range w.runs {
-			w.endRun(r, "lapsed")
-		}
-		w.gone = true
-		fleetMu.Unlock()
+		w.end()
 		s.Remove("servers/" + w.id)
 		logf("%s has left", w.id)
 	})
 }
+
+// end ends the worker with all that runs on it.
+func (w *Worker) end() {
+	fleetMu.Lock()
+	defer fleetMu.Unlock()
+	for _, r := range w.runs {
+		w.endRun(r, "lapsed")
+	}
+	w.gone = true
+}
+
+// heartbeat is heartbeat_ms of the settings.
+const heartbeat = 1500 * time.Millisecond
+
+// crash ends the worker. Its entry goes after three heartbeats of silence.
+func (w *Worker) crash(s *Store) {
+	logf("disruption: %s crashes", w.id)
+	w.end()
+	time.AfterFunc(3*heartbeat, func() { s.Remove("servers/" + w.id) })
+}
