--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/standin"
 mkdir -p ../../target
-GOWORK=off GOFLAGS= go build -o ../../target/review-standin .
+GOWORK=off go build -buildvcs=false -o ../../target/review-standin .
