--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -3,6 +3,7 @@
 //
 //	standin CASE REPOSITORY TEMPORARY-FOLDER RECORD
 //
+// It appends to the file RECORD what was sent, answered and run.
 // It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 // With TROUBLE=0 in the environment it leaves out the disruption.
 package main
@@ -28,12 +29,12 @@
 		fmt.Println("usage: standin CASE REPOSITORY TEMPORARY-FOLDER RECORD")
 		os.Exit(2)
 	}
-	record, err := os.Create(os.Args[4])
+	record, err := os.OpenFile(os.Args[4], os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		fmt.Println(err)
 		os.Exit(2)
 	}
-	logFile = record
+	startLog(record)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	go func() {
@@ -41,8 +42,9 @@
 		case <-signals:
 		case <-time.After(maxTime):
 		}
-		logf("interrupted")
+		logf("interrupted: the case could not run to its end")
 		endAll()
+		flushLog()
 		os.Exit(2)
 	}()
 	broken, err := cases[os.Args[1]](os.Args[2], os.Args[3], os.Getenv("TROUBLE") != "0")
@@ -55,6 +57,7 @@
 		result, code = "RULE BROKEN: "+broken, 1
 	}
 	logf("%s", result)
+	flushLog()
 	fmt.Println(result)
 	os.Exit(code)
 }
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -163,6 +163,9 @@
 		status = 200
 	}
 	fleetMu.Unlock()
+	if r.URL.Path != "/hold" {
+		logf("%s answers %s of %s run %d, fence %d: %d %v", w.id, r.URL.Path, c.Task, c.Run, c.Fence, status, body)
+	}
 	body["clock_ms"] = w.clock().Milliseconds()
 	reply(rw, status, body)
 }
@@ -233,7 +236,6 @@
 
 func (w *Worker) start(c workerCall) (int, map[string]any) {
 	if w.shed {
-		logf("%s answers 503 to the start of %s run %d", w.id, c.Task, c.Run)
 		return 503, map[string]any{}
 	}
 	w.extend(c.Deadline)
@@ -275,9 +277,7 @@
 	if j.firstStart.IsZero() {
 		j.firstStart = time.Now()
 	}
-	if s.Count <= 10 {
-		logf("%s starts %s run %d", w.id, c.Task, c.Run)
-	}
+	logf("%s starts %s run %d", w.id, c.Task, c.Run)
 	if !s.Gang {
 		r.begin()
 		return 200, map[string]any{}
@@ -339,9 +339,7 @@
 	if r.timer != nil {
 		r.timer.Stop()
 	}
-	if r.step.Count <= 10 {
-		logf("%s ends %s run %d: %s", w.id, r.task, r.number, how)
-	}
+	logf("%s ends %s run %d: %s", w.id, r.task, r.number, how)
 	close(w.changed)
 	w.changed = make(chan struct{})
 	if r.gang == nil || r.gang.ended {
@@ -361,9 +359,6 @@
 	w.highest[c.Task] = max(w.highest[c.Task], c.Run)
 	if r := w.runs[c.Task]; r != nil && r.number <= c.Run && !r.stopping {
 		r.stopping = true
-		if r.step.Count <= 10 {
-			logf("%s is told to stop %s run %d", w.id, r.task, r.number)
-		}
 		time.AfterFunc(stopTime, func() {
 			fleetMu.Lock()
 			defer fleetMu.Unlock()
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -20,9 +21,25 @@
 var (
 	began   = time.Now()
 	logMu   sync.Mutex
-	logFile io.Writer = os.Stdout
+	logFile = bufio.NewWriter(os.Stdout)
 )
 
+// startLog writes the log to a file from now on. Lines reach it within a tenth of a second.
+func startLog(file io.Writer) {
+	logFile = bufio.NewWriterSize(file, 1<<16)
+	go func() {
+		for range time.Tick(100 * time.Millisecond) {
+			flushLog()
+		}
+	}()
+}
+
+func flushLog() {
+	logMu.Lock()
+	defer logMu.Unlock()
+	_ = logFile.Flush()
+}
+
 func logf(format string, args ...any) {
 	logMu.Lock()
 	defer logMu.Unlock()
@@ -311,6 +328,9 @@
 
 // submit hands a job in, with retries at other nodes, and reports whether it was accepted.
 func (w *World) submit(j *Job) bool {
+	if b, err := json.Marshal(j); err == nil {
+		logf("job %s: %s", j.id, b)
+	}
 	for i := range 5 {
 		n := w.nodes[rand.IntN(len(w.nodes))]
 		status, body := n.call(http.MethodPost, j.path, j)
