End calls to a silent store, and repeat the reads of a new owner

The connection on which a response was lost carries nothing further, so the wait never ended, while the renewal of the owner key's lease, which has a limit, succeeded again. The owner kept its lease and served nothing. A stack trace of the owner, 19 s after the store was back, shows it in readAll, called from session.load.

The same limit was missing where a list is read anew after a watch has expired, where a campaign revokes its lease, and where a node revokes the owner key.

--- a/lib/controller/cycle.go
+++ b/lib/controller/cycle.go
@@ -366,15 +366,15 @@
 	s.activateConfig(config)
 	s.planner.Configure(plannerRules(*config.Config)) // Restore uses the rules
 	s.configConfirmedAt.Store(int64(timer.SinceBoot() - configWatchTimeout))
-	workers, err := s.controller.config.Lists.ReadWorkers(ctx)
+	workers, err := readStored(ctx, s, s.controller.config.Lists.ReadWorkers)
 	if err != nil {
 		return errors.Wrap(err, "read the list of workers")
 	}
-	jobs, err := readAll[task.Job](ctx, s.controller.config.Store, jobPrefix)
+	jobs, err := readAll[task.Job](ctx, s, jobPrefix)
 	if err != nil {
 		return err
 	}
-	progress, err := readAll[task.Progress](ctx, s.controller.config.Store, progressPrefix)
+	progress, err := readAll[task.Progress](ctx, s, progressPrefix)
 	if err != nil {
 		return err
 	}
@@ -411,7 +411,7 @@
 // none at first.
 func (s *session) awaitConfig(ctx context.Context) (Update, error) {
 	for {
-		u, err := s.controller.config.Lists.ReadConfig(ctx)
+		u, err := readStored(ctx, s, s.controller.config.Lists.ReadConfig)
 		if !problem.Is(err, problem.NotFound) {
 			return u, err
 		}
@@ -440,30 +440,3 @@
 	}
 	return j.Spec, nil
 }
-
-const pageSize = 500
-
-// readAll reads all records under a prefix. It logs and skips records that
-// can't be decoded.
-func readAll[T any](ctx context.Context, store Store, prefix string) ([]T, error) {
-	var all []T
-	after := ""
-	for {
-		items, err := store.List(ctx, prefix, after, pageSize)
-		if err != nil {
-			return nil, errors.Wrapf(err, "read %s", prefix)
-		}
-		if len(items) == 0 {
-			return all, nil
-		}
-		for _, item := range items {
-			after = item.Key
-			var v T
-			if err := cbor.Unmarshal(item.Value, &v); err != nil {
-				klog.ErrorS(err, "stored record skipped; it can't be decoded", "event", "load", "key", item.Key)
-				continue
-			}
-			all = append(all, v)
-		}
-	}
-}
--- a/lib/controller/fake_test.go
+++ b/lib/controller/fake_test.go
@@ -34,7 +34,9 @@
 	loseReply     bool
 	downAfterNext bool // the store goes down again after one transaction
 	commits       int
-	panicNext     bool          // the next Commit panics
+	panicNext     bool // the next Commit panics
+	listsDown     bool // List fails
+	refusedLists  int
 	refused       chan struct{} // receives a value, unless it is full, for each transaction that fails while the store is down
 }
 
@@ -68,6 +70,10 @@
 func (s *fakeStore) List(_ context.Context, prefix, after string, _ int) ([]kv.Item, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.listsDown && prefix != election.OwnerKey {
+		s.refusedLists++
+		return nil, problem.New(problem.Unknown, problem.Detail{Field: "store", Remedy: "repeat"})
+	}
 	var items []kv.Item
 	for _, key := range slices.Sorted(maps.Keys(s.items)) {
 		if strings.HasPrefix(key, prefix) && key > after {
--- a/lib/controller/lists.go
+++ b/lib/controller/lists.go
@@ -57,7 +57,7 @@
 		u, err := s.controller.config.Lists.WatchConfig(ctx, version, configWatchTimeout)
 		if problem.Is(err, problem.Expired) {
 			sent, all = timer.SinceBoot(), true
-			u, err = s.controller.config.Lists.ReadConfig(ctx)
+			u, err = boundedRead(ctx, s.controller.config.Lists.ReadConfig)
 		}
 		if err != nil {
 			s.watchFailed(ctx, err)
@@ -123,7 +123,7 @@
 	for ctx.Err() == nil {
 		u, err := s.controller.config.Lists.WatchWorkers(ctx, version, workersWatchTimeout)
 		if problem.Is(err, problem.Expired) {
-			if u, err = s.controller.config.Lists.ReadWorkers(ctx); err == nil {
+			if u, err = boundedRead(ctx, s.controller.config.Lists.ReadWorkers); err == nil {
 				u.Removed = s.unlistedWorkers(u.Workers)
 			}
 		}
--- /dev/null
+++ b/lib/controller/read.go
@@ -0,0 +1,99 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"bronzewinch.dev/lib/election"
+	"bronzewinch.dev/lib/kv"
+	"bronzewinch.dev/lib/problem"
+	"bronzewinch.dev/lib/timer"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+	"k8s.io/klog/v2"
+)
+
+const (
+	// readTimeout bounds one read of the store. A page of 1 MB takes 6 s over a link of
+	// 2 Mbit/s. The client of the store gives up much earlier on one that sends nothing.
+	readTimeout = 10 * time.Second
+	// maxReadOutage is how long reads of the stored state are repeated. After that the
+	// owner can't extend leases any more, and another node may be able to read.
+	maxReadOutage = election.OutageGrace
+)
+
+// boundedRead calls read with readTimeout. An owner whose read never ends would keep its
+// lease without serving.
+func boundedRead[T any](ctx context.Context, read func(context.Context) (T, error)) (T, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return read(ctx)
+}
+
+// readStored calls read until it succeeds. It returns an error if the store rejects the
+// read, has not answered for maxReadOutage, or ctx ends.
+func readStored[T any](ctx context.Context, s *session, read func(context.Context) (T, error)) (T, error) {
+	clock := s.controller.config.Timer
+	start, pause := clock.Now(), minCommitRetryPause
+	for {
+		v, err := boundedRead(ctx, read)
+		switch {
+		case ctx.Err() != nil:
+			return v, context.Cause(ctx)
+		case err == nil:
+			s.controller.storeHealth.Observe(nil)
+			return v, nil
+		case !isOutage(err):
+			return v, err
+		}
+		s.controller.storeHealth.Observe(err)
+		s.term.StoreFailed()
+		if clock.Now().Sub(start) > maxReadOutage {
+			return v, errors.Wrapf(err, "not read within %v", maxReadOutage)
+		}
+		if timer.Sleep(ctx, clock, timer.Jitter(pause)) != nil {
+			return v, context.Cause(ctx)
+		}
+		pause = min(2*pause, maxCommitRetryPause)
+	}
+}
+
+// isOutage reports whether a read failed because the store did not answer it or was
+// overloaded, so that a later attempt can succeed.
+func isOutage(err error) bool {
+	switch problem.KindOf(err) {
+	case problem.Unknown, problem.Unavailable, problem.Overloaded:
+		return true
+	}
+	return false
+}
+
+const pageSize = 500
+
+// readAll reads all records under a prefix. It logs and skips records that
+// can't be decoded.
+func readAll[T any](ctx context.Context, s *session, prefix string) ([]T, error) {
+	var all []T
+	after := ""
+	for {
+		items, err := readStored(ctx, s, func(ctx context.Context) ([]kv.Item, error) {
+			return s.controller.config.Store.List(ctx, prefix, after, pageSize)
+		})
+		if err != nil {
+			return nil, errors.Wrapf(err, "read %s", prefix)
+		}
+		if len(items) == 0 {
+			return all, nil
+		}
+		for _, item := range items {
+			after = item.Key
+			var v T
+			if err := cbor.Unmarshal(item.Value, &v); err != nil {
+				klog.ErrorS(err, "stored record skipped; it can't be decoded", "event", "load", "key", item.Key)
+				continue
+			}
+			all = append(all, v)
+		}
+	}
+}
--- a/lib/controller/recover_test.go
+++ b/lib/controller/recover_test.go
@@ -8,6 +8,7 @@
 	"bronzewinch.dev/lib/election"
 	"bronzewinch.dev/lib/id"
 	"bronzewinch.dev/lib/task"
+	"bronzewinch.dev/lib/timer"
 
 	"github.com/matryer/is"
 )
@@ -27,6 +28,28 @@
 	is.Equal(c.submit(jobB).Outcome, controller.OK)
 }
 
+// TestLoadOutlastsStoreOutage guards against an owner that ends its term because the store
+// does not answer while it loads, so that after the outage callers wait for the next one.
+func TestLoadOutlastsStoreOutage(t *testing.T) {
+	is := is.New(t)
+	store, workers := newFakeStore(), newFakeWorkers()
+	store.listsDown = true
+	c := newController(store, workers, fakeLists{workers: testWorkers()})
+	e := election.New(election.Config{Node: "node", Address: "a", Store: store, Runner: c, Timer: timer.NewSystem()})
+	t.Cleanup(e.Close)
+	workers.await(t, "reads of the stored jobs", func() bool {
+		store.mu.Lock()
+		defer store.mu.Unlock()
+		return store.refusedLists >= 3
+	})
+	is.True(!c.Heartbeat("")) // it does not serve without the stored jobs
+	store.mu.Lock()
+	store.listsDown = false
+	store.mu.Unlock()
+	workers.await(t, "the end of the load", func() bool { return c.Heartbeat("") })
+	is.Equal(e.Owner().Fence, task.Fence(election.FencesPerTerm))
+}
+
 // TestRestartUsesPresentLists guards against an owner that after a restart uses a worker
 // that has left, or accepts a key that was withdrawn, while there was no owner.
 func TestRestartUsesPresentLists(t *testing.T) {
--- a/lib/controller/upkeep.go
+++ b/lib/controller/upkeep.go
@@ -71,7 +71,7 @@
 	if s.controller.config.VMs == nil {
 		return nil
 	}
-	stored, err := readAll[task.WaveProgress](ctx, s.controller.config.Store, wavePrefix)
+	stored, err := readAll[task.WaveProgress](ctx, s, wavePrefix)
 	if err != nil {
 		return err
 	}
--- a/lib/election/election.go
+++ b/lib/election/election.go
@@ -39,6 +39,8 @@
 	// renewPeriod leaves time for two more attempts when a renewal fails.
 	renewPeriod = 400 * time.Millisecond
 	callTimeout = 700 * time.Millisecond
+	// sequenceTimeout bounds several calls that follow each other.
+	sequenceTimeout = 3 * callTimeout
 	// suspectAge is the time since the last renewal after which an owner checks
 	// whether it can still reach the store. Renewals normally happen every
 	// renewPeriod.
@@ -284,6 +286,8 @@
 // owner key. It is called after the owner has resigned or its process has ended. It
 // does nothing if the key has another fence.
 func (e *Election) RevokeOwner(ctx context.Context, fence task.Fence) error {
+	ctx, cancel := context.WithTimeout(ctx, sequenceTimeout)
+	defer cancel()
 	items, _, err := e.config.Store.ListAll(ctx, OwnerKey)
 	if err != nil {
 		return err
@@ -487,7 +491,7 @@
 
 // acquire writes the owner key and the first fence of the new term in one transaction.
 func (e *Election) acquire(ctx context.Context) (*Term, error) {
-	ctx, cancel := context.WithTimeout(ctx, 3*callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, sequenceTimeout)
 	defer cancel()
 	record, version, err := readRecord(ctx, e.config.Store, CommitKey, DecodeCommitRecord)
 	if err != nil {
@@ -527,7 +531,9 @@
 	if err != nil {
 		// The transaction may have succeeded even though its response was lost. The
 		// lease is revoked so that it does not keep the owner key.
-		_ = e.config.Store.Revoke(context.WithoutCancel(ctx), lease)
+		ending, done := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+		defer done()
+		_ = e.config.Store.Revoke(ending, lease)
 		return nil, err
 	}
 	term.CommitVersion = result.Version
--- a/lib/election/election_test.go
+++ b/lib/election/election_test.go
@@ -63,6 +63,9 @@
 	faultsMu    sync.Mutex
 	unreachable bool // calls fail without effect
 	loseReply   bool // the reply to the next transaction is lost
+	// silentRevokes is the number of the next revocations that get no answer and have no
+	// effect.
+	silentRevokes int
 }
 
 func (v *nodeView) setFaults(unreachable, loseReply bool) {
@@ -158,10 +161,22 @@
 	return nil
 }
 
-func (v *nodeView) Revoke(_ context.Context, lease kv.LeaseID) error {
+// takeSilentRevoke reports whether the next revocation gets no answer.
+func (v *nodeView) takeSilentRevoke() bool {
+	v.faultsMu.Lock()
+	defer v.faultsMu.Unlock()
+	v.silentRevokes--
+	return v.silentRevokes >= 0
+}
+
+func (v *nodeView) Revoke(ctx context.Context, lease kv.LeaseID) error {
 	if err := v.checkReachable(); err != nil {
 		return err
 	}
+	if v.takeSilentRevoke() {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.endLease(lease)
@@ -214,9 +229,13 @@
 }
 
 func newCandidateWithCores(t *testing.T, store *memoryStore, name id.Node, loseReply bool, cores float64) *candidate {
+	t.Helper()
+	return newCandidateWithView(t, &nodeView{memoryStore: store, loseReply: loseReply}, name, cores)
+}
+
+func newCandidateWithView(t *testing.T, v *nodeView, name id.Node, cores float64) *candidate {
 	t.Helper()
 	runner := &fakeRunner{terms: make(chan *election.Term, 10)}
-	v := &nodeView{memoryStore: store, loseReply: loseReply}
 	c := &candidate{store: v, terms: runner.terms, Election: election.New(election.Config{Node: name, Address: string(name) + ":1", Store: v,
 		Runner: runner, Timer: timer.NewSystem(), Cores: cores})}
 	t.Cleanup(c.Close)
@@ -298,6 +317,26 @@
 	awaitOwner(t, a, "a")
 }
 
+// TestUnansweredRevocation guards against a node that no longer follows the owner key or
+// campaigns because the store did not answer a revocation.
+func TestUnansweredRevocation(t *testing.T) {
+	t.Run("after a campaign", func(t *testing.T) {
+		t.Parallel()
+		v := &nodeView{memoryStore: newMemoryStore(), loseReply: true, silentRevokes: 1}
+		await(t, "a term", newCandidateWithView(t, v, "a", 0).terms)
+	})
+	t.Run("of the own key after a restart", func(t *testing.T) {
+		t.Parallel()
+		store := newMemoryStore()
+		old := newCandidate(t, store, "a", false)
+		await(t, "the first term", old.terms)
+		old.store.setFaults(true, false) // the process can't revoke its lease
+		old.Close()
+		v := &nodeView{memoryStore: store, silentRevokes: 1}
+		await(t, "the next term", newCandidateWithView(t, v, "a", 0).terms)
+	})
+}
+
 // TestFencesRiseOverTerms guards against a new owner whose calls workers reject because
 // the previous owner has raised the fence further.
 func TestFencesRiseOverTerms(t *testing.T) {
--- a/standin/cooperative/cooperative_test.go
+++ b/standin/cooperative/cooperative_test.go
@@ -227,6 +227,36 @@
 	}
 }
 
+// TestOwnerLoadsFromSilentStore guards against a new owner that waits for good for a store
+// that was silent while it read the stored jobs, and keeps its lease meanwhile.
+func TestOwnerLoadsFromSilentStore(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d := newDeployment(t, 3, 3)
+	steps := []cooperative.Step{{Count: 2, GPU: 1, RunTime: second}}
+	is.Equal(submit(d, 1, "00000000000000aa", steps), http.StatusOK)
+	for _, n := range d.Nodes {
+		d.Store.SetFault(n.Name, cooperative.DelayCalls) // the owner reads for more than a second
+	}
+	old := d.Owner()
+	<-old.Signal(syscall.SIGKILL)
+	for limit := time.Now().Add(10 * second); d.Owner() == nil || d.Owner() == old; time.Sleep(5 * time.Millisecond) {
+		is.True(time.Now().Before(limit)) // a new owner
+	}
+	time.Sleep(300 * time.Millisecond)
+	d.Store.SetSilent(true)
+	time.Sleep(4 * second)
+	d.Store.SetSilent(false)
+	for _, n := range d.Nodes {
+		d.Store.SetFault(n.Name, cooperative.NoFault)
+	}
+	is.NoErr(old.Start())
+	const recovery = 12 * second // recovery_s
+	is.True(d.AwaitReady(recovery))
+	awaitState(t, d, 1, "00000000000000aa", "completed")
+	checkInvariants(t, d)
+}
+
 // TestStoreCompaction guards against watches that stop, or that retry in a tight
 // loop, after the store has discarded the history from which they resume.
 func TestStoreCompaction(t *testing.T) {
--- a/standin/cooperative/store.go
+++ b/standin/cooperative/store.go
@@ -6,6 +6,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -62,6 +63,8 @@
 	changed      chan struct{}
 	faults       map[string]Fault
 	calls        int
+	silentSince  time.Time // zero while the store serves
+	silences     int       // the calls that a silence interrupts get no response
 }
 
 // NewStore returns an empty store.
@@ -77,6 +80,33 @@
 	s.faults[node] = f
 }
 
+// SetSilent starts or ends an outage in which the store executes no calls, responds to
+// none, and leases do not run down.
+func (s *Store) SetSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case silent == !s.silentSince.IsZero():
+	case silent:
+		s.silentSince = time.Now()
+		s.silences++
+	default:
+		for id, l := range s.leases {
+			l.expiresAt = l.expiresAt.Add(time.Since(s.silentSince))
+			s.leases[id] = l
+		}
+		s.silentSince = time.Time{}
+	}
+}
+
+// interrupted reports whether the store is silent, or has been since a call that arrived
+// after a number of silences.
+func (s *Store) interrupted(silences int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.silentSince.IsZero() || s.silences != silences
+}
+
 // Compact discards the history. Watches from an earlier revision then get
 // status 410.
 func (s *Store) Compact() {
@@ -144,6 +174,9 @@
 // expireLeases ends the leases that have expired, and removes their keys. s.mu
 // must be held.
 func (s *Store) expireLeases() {
+	if !s.silentSince.IsZero() {
+		return
+	}
 	now := time.Now()
 	for id, l := range s.leases {
 		if now.After(l.expiresAt) {
@@ -189,7 +222,7 @@
 func (s *Store) serve(node string, next http.Handler, w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.calls++
-	fault := s.faults[node]
+	fault, silences := s.faults[node], s.silences
 	s.expireLeases()
 	s.mu.Unlock()
 	switch {
@@ -206,6 +239,11 @@
 		<-r.Context().Done()
 		return
 	}
+	if s.interrupted(silences) {
+		_, _ = io.Copy(io.Discard, r.Body) // only then does the server notice that the client has gone
+		<-r.Context().Done()
+		return
+	}
 	next.ServeHTTP(w, r)
 }
 
@@ -254,7 +292,14 @@
 	defer limit.Stop()
 	expiry := time.NewTicker(50 * time.Millisecond)
 	defer expiry.Stop()
+	s.mu.Lock()
+	silences := s.silences
+	s.mu.Unlock()
 	for {
+		if s.interrupted(silences) {
+			<-r.Context().Done()
+			return
+		}
 		s.mu.Lock()
 		s.expireLeases()
 		if after < s.compactedRev {
