Ask witnesses whether an earlier owner may still extend leases

Cause: an owner extends the leases of runs until 12 s after its last renewal, so that work survives an outage of the store. Its successor waited for the last such lease, 18.3 s, unless the earlier owner's own node said that the term had ended. A node that is gone can't.

Change: an owner names up to seven other nodes as witnesses in its record in the store. Once its own lease has expired, it extends leases only while at least half of them have confirmed within 2 s that they know no later owner. A new owner asks the witnesses of each earlier owner that is not known to have ended; more than half that have confirmed none for 2.15 s settle it. The record lists all such terms, not only the last. A campaign depends on the version of the record that it has read.

Why it works: at least half and more than half of a set have a member in common, so not both can have enough.

--- a/lib/election/election.go
+++ b/lib/election/election.go
@@ -18,6 +18,7 @@
 	"bronzewinch.dev/lib/problem"
 	"bronzewinch.dev/lib/task"
 	"bronzewinch.dev/lib/timer"
+	"bronzewinch.dev/lib/witness"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
@@ -49,8 +50,9 @@
 	// store during one lease.
 	clockMargin = 150 * time.Millisecond
 	// OutageGrace is how long after its last renewal an owner still extends the
-	// leases of runs, to bridge an outage of the store. A new owner waits for it
-	// before it treats runs on unreachable workers as lost.
+	// leases of runs, to bridge an outage of the store, if its witnesses confirm it. A
+	// new owner that does not know that this has ended waits for it before it treats
+	// runs on unreachable workers as lost.
 	OutageGrace   = 12 * time.Second
 	minRetryPause = 150 * time.Millisecond
 	// sufficientCores is the processor time that an owner needs in the users'
@@ -128,10 +130,11 @@
 	// CommitVersion is the version of the commit key at the start of the term.
 	CommitVersion kv.Version
 
-	raises     atomic.Uint64 // calls of NextFence
-	earlier    TermRecord    // of the term before this one
-	settled    atomic.Bool   // the terms before this one have ended
-	settledNow chan struct{} // receives a value when settled has become true
+	raises        atomic.Uint64 // calls of NextFence
+	earlier       *earlierTerms
+	settled       atomic.Bool   // no earlier owner may extend leases
+	settledNow    chan struct{} // receives a value when settled has become true
+	confirmations *witness.Confirmations
 
 	lease     kv.LeaseID
 	startedAt time.Duration // timer.SinceBoot at the start of the term
@@ -147,8 +150,10 @@
 func (t *Term) Valid() bool { return t.sinceRenewal() < leaseTime-clockMargin }
 
 // MayExtendLeases reports whether the owner may still extend the leases of
-// runs.
-func (t *Term) MayExtendLeases() bool { return t.sinceRenewal() < OutageGrace }
+// runs. Once its own lease has expired, it needs the confirmations of its witnesses.
+func (t *Term) MayExtendLeases() bool {
+	return t.Valid() || t.sinceRenewal() < OutageGrace && t.confirmations.Sufficient(timer.SinceBoot())
+}
 
 // CommitRecord returns the record of a transaction of the term.
 func (t *Term) CommitRecord(number uint64) CommitRecord {
@@ -208,6 +213,8 @@
 	wg          sync.WaitGroup
 	active      atomic.Bool          // a campaign or a term is in progress
 	term        atomic.Pointer[Term] // nil while this node is not the owner
+	register    *witness.Register
+	changing    atomic.Bool // a change of the witnesses is being stored
 
 	mu          sync.Mutex
 	owner       Owner
@@ -217,7 +224,8 @@
 // New returns an Election that has started to follow the owner key.
 func New(c Config) *Election {
 	ctx, cancel := context.WithCancel(context.Background())
-	e := &Election{config: c, refresh: make(chan struct{}, 1), storeHealth: dependency.New("ownerKey", c.Timer), stop: cancel}
+	e := &Election{config: c, refresh: make(chan struct{}, 1), storeHealth: dependency.New("ownerKey", c.Timer), stop: cancel,
+		register: witness.NewRegister(timer.SinceBoot())}
 	e.wg.Go(func() { e.followOwner(ctx) })
 	return e
 }
@@ -241,6 +249,7 @@
 // UpdateOwner stores an owner that another node has reported, if its fence is
 // higher than that of the known owner.
 func (e *Election) UpdateOwner(o Owner) {
+	e.register.Observe(o.Fence)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if o.Fence > e.owner.Fence {
@@ -410,6 +419,7 @@
 		if err != nil {
 			return 0, false, err
 		}
+		e.register.ObserveStored(o.Fence)
 		e.setOwner(o)
 		return version, true, nil
 	}
@@ -461,6 +471,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	term.cancel = cancel
+	e.register.ObserveStored(term.Fence)
 	e.setOwner(Owner{Node: e.config.Node, Address: e.config.Address, Fence: term.Fence})
 	klog.InfoS("ownership acquired", "event", "term", "node", e.config.Node, "fence", term.Fence)
 	e.term.Store(term)
@@ -497,7 +508,7 @@
 	if err != nil {
 		return nil, err
 	}
-	earlier, _, err := readRecord(ctx, e.config.Store, TermKey, DecodeTermRecord)
+	last, termVersion, err := readRecord(ctx, e.config.Store, TermKey, DecodeTermRecord)
 	if err != nil {
 		return nil, err
 	}
@@ -506,9 +517,11 @@
 	if err != nil {
 		return nil, err
 	}
-	term := &Term{Fence: firstFenceAfter(record.Fence), earlier: earlier, lease: lease, startedAt: sent,
-		settledNow: make(chan struct{}, 1), renewNow: make(chan struct{}, 1), done: make(chan struct{})}
-	term.settled.Store(record == CommitRecord{} || earlier.endsBefore(term.Fence, e.config))
+	fence := firstFenceAfter(record.Fence)
+	term := &Term{Fence: fence, earlier: newEarlierTerms(last, fence, e.config), lease: lease, startedAt: sent,
+		confirmations: witness.NewConfirmations(last.inheritedWitnesses(fence, e.config)),
+		settledNow:    make(chan struct{}, 1), renewNow: make(chan struct{}, 1), done: make(chan struct{})}
+	term.settled.Store(record == CommitRecord{} || term.earlier.ended())
 	termRecord, err := e.termRecord(term).encode()
 	if err != nil {
 		return nil, err
@@ -522,7 +535,8 @@
 		return nil, err
 	}
 	result, err := e.config.Store.Commit(ctx, kv.Txn{
-		Expect: []kv.Expect{{Key: OwnerKey}, {Key: CommitKey, Version: version}},
+		// The last owner may have changed its witnesses since its record was read.
+		Expect: []kv.Expect{{Key: OwnerKey}, {Key: CommitKey, Version: version}, {Key: TermKey, Version: termVersion}},
 		Writes: []kv.Write{{Key: OwnerKey, Value: owner, Lease: lease}, {Key: CommitKey, Value: value}, {Key: TermKey, Value: termRecord}},
 	})
 	if err == nil && !result.Committed {
--- a/lib/election/stored_test.go
+++ b/lib/election/stored_test.go
@@ -32,6 +32,16 @@
 	is.NoErr(err)
 	is.Equal(gotTerm, term)
 
+	term = election.TermRecord{Fence: 1, Node: "n", Address: "a", Witnesses: []string{"w"},
+		Earlier: []election.EarlierTerm{{Fence: 2, Node: "m", Address: "b", Witnesses: []string{"v"}}}}
+	data, err = codec.CBOR.Marshal(term)
+	is.NoErr(err)
+	is.Equal(hex.EncodeToString(data), "a5646e6f6465616e6566656e63650167616464726573736161676561726c69657281"+
+		"a4646e6f6465616d6566656e63650267616464726573736162697769746e6573736573816176"+"697769746e6573736573816177")
+	gotTerm, err = election.DecodeTermRecord(data)
+	is.NoErr(err)
+	is.Equal(gotTerm, term)
+
 	owner := election.Owner{Node: "n", Address: "a", Fence: 3}
 	data, err = codec.CBOR.Marshal(owner)
 	is.NoErr(err)
--- a/lib/relay/handover.go
+++ b/lib/relay/handover.go
@@ -58,10 +58,11 @@
 	return struct{}{}, r.config.Election.RevokeOwner(ctx, req.Fence)
 }
 
-// handOver resigns when the metadata store answers another node and not this
-// one. Otherwise the deployment would have to wait until the lease of the owner
-// key has expired.
-func (r *Relay) handOver(ctx context.Context) {
+// checkStore finds out what to do about a suspected outage of the metadata store. It
+// requests the confirmations that let this owner extend leases in an outage, and hands over
+// when the store answers another node and not this one. Otherwise the deployment would have
+// to wait until the lease of the owner key has expired.
+func (r *Relay) checkStore(ctx context.Context) {
 	now := r.config.Timer.Now()
 	if now.Sub(r.lastHandOverAttempt) < handOverPause {
 		return
@@ -70,11 +71,16 @@
 	var wg sync.WaitGroup
 	var reachable bool
 	wg.Go(func() { reachable = r.probeOwnStore(ctx) })
+	wg.Go(func() { r.requestConfirmations(ctx) })
 	successor := r.findSuccessor(ctx)
 	wg.Wait()
-	if reachable || successor == "" || ctx.Err() != nil {
-		return
+	if !reachable && successor != "" && ctx.Err() == nil {
+		r.handOver(ctx, successor)
 	}
+}
+
+// handOver resigns and lets the node at an address revoke the owner key.
+func (r *Relay) handOver(ctx context.Context, successor string) {
 	ctx, cancel := context.WithTimeout(ctx, resignTimeout)
 	defer cancel()
 	fence, ok := r.config.Election.Resign(ctx)
--- a/lib/relay/relay.go
+++ b/lib/relay/relay.go
@@ -57,6 +57,8 @@
 	heartbeatMethod   = "hello"
 	storeProbeMethod  = "reach"
 	revokeOwnerMethod = "depose"
+	confirmMethod     = "confirm"
+	supersedeMethod   = "supersede"
 )
 
 // Heartbeat announces a node to the owner. Nodes also send it to other nodes to
@@ -70,6 +72,9 @@
 	KnownFence task.Fence `cbor:"knownFence,omitempty"`
 	// Delegate describes the sender if it can make calls to workers for the owner.
 	Delegate *delegate.Node `cbor:"delegate,omitempty"`
+	// Witness means that the sender can be a witness of the owner, in Zone.
+	Witness bool    `cbor:"witness,omitempty"`
+	Zone    id.Zone `cbor:"zone,omitempty"`
 }
 
 // HeartbeatReply is the state of the node that received a heartbeat.
@@ -105,6 +110,8 @@
 	// owner that has resigned or whose process has ended.
 	Resign(ctx context.Context) (task.Fence, bool)
 	RevokeOwner(ctx context.Context, fence task.Fence) error
+	Witness
+	WitnessedOwner
 }
 
 // Controller processes calls while this node is the owner.
@@ -143,9 +150,10 @@
 	stop   context.CancelFunc
 	wg     sync.WaitGroup
 
-	ownerHealth         *dependency.Dependency
-	leaving             atomic.Bool
-	lastHandOverAttempt time.Time // used by the heartbeat goroutine only
+	ownerHealth *dependency.Dependency
+	leaving     atomic.Bool
+	// Used by the heartbeat goroutine only.
+	lastHandOverAttempt, lastInquiry, lastCandidates time.Time
 
 	mu     sync.Mutex
 	seeds  []string
@@ -157,6 +165,7 @@
 	cancelReachable context.CancelFunc
 	lastServed      time.Time            // when the owner last reported that it serves calls
 	peersSeen       map[string]time.Time // when other nodes last sent a heartbeat or were listed in a reply, by address
+	candidates      map[string]candidate // nodes that can be witnesses, by address
 }
 
 // New returns a relay that answers other nodes and sends heartbeats to the
@@ -164,13 +173,15 @@
 func New(c Config) *Relay {
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Relay{config: c, stop: cancel, ownerHealth: dependency.New("owner", c.Timer), seeds: c.Seeds,
-		period: minHeartbeatPeriod, peersSeen: make(map[string]time.Time)}
+		period: minHeartbeatPeriod, peersSeen: make(map[string]time.Time), candidates: make(map[string]candidate)}
 	peer.Handle(c.Server, callMethod, func(ctx context.Context, req controller.Request) (controller.Reply, error) {
 		return c.Controller.Handle(ctx, req), nil
 	})
 	peer.Handle(c.Server, heartbeatMethod, r.handleHeartbeat)
 	peer.Handle(c.Server, storeProbeMethod, r.handleStoreProbe)
 	peer.Handle(c.Server, revokeOwnerMethod, r.handleRevokeOwner)
+	peer.Handle(c.Server, confirmMethod, r.handleConfirm)
+	peer.Handle(c.Server, supersedeMethod, r.handleSupersede)
 	r.wg.Go(func() {
 		for ctx.Err() == nil {
 			start := c.Timer.Now()
@@ -326,6 +337,7 @@
 func (r *Relay) handleHeartbeat(_ context.Context, h Heartbeat) (HeartbeatReply, error) {
 	now := r.config.Timer.Now()
 	r.observeDelegate(h)
+	r.observeCandidate(now, h)
 	if h.Idle {
 		r.config.Election.ObserveIdle(h.Node, h.Address, h.KnownFence)
 	}
@@ -382,15 +394,17 @@
 
 // sendHeartbeat sends a heartbeat to the owner and processes the reply. If the
 // owner does not answer, it queries other nodes for the owner. On the owner
-// itself, it checks whether to hand over.
+// itself, it calls the witnesses and checks whether to hand over.
 func (r *Relay) sendHeartbeat(ctx context.Context) {
 	owner := r.config.Election.Owner()
 	if owner.Node == r.config.Node {
 		if r.config.Controller.Heartbeat("") {
 			r.markServed()
 		}
+		r.askWitnesses(ctx)
+		r.offerWitnesses()
 		if r.config.Election.StoreSuspected() {
-			r.handOver(ctx)
+			r.checkStore(ctx)
 		}
 		return
 	}
@@ -448,7 +462,8 @@
 	defer cancel()
 	known, idle := r.config.Election.IdleSince()
 	reply, err := peer.Call[Heartbeat, HeartbeatReply](ctx, r.config.Pool, address, heartbeatMethod,
-		Heartbeat{Node: r.config.Node, Address: r.config.Address, Idle: idle, KnownFence: known, Delegate: r.describe()})
+		Heartbeat{Node: r.config.Node, Address: r.config.Address, Idle: idle, KnownFence: known, Delegate: r.describe(),
+			Witness: !r.Leaving(), Zone: r.config.Zone})
 	if err != nil {
 		return reply, err
 	}
--- a/lib/relay/relay_test.go
+++ b/lib/relay/relay_test.go
@@ -21,6 +21,7 @@
 
 // fakeElection is an Election with an owner and faults that the test sets.
 type fakeElection struct {
+	fakeWitnesses
 	mu             sync.Mutex
 	owner          election.Owner
 	storeSuspected bool
