Poll a worker while a start without an answer may still reach it

In our own tests it showed: a start had no answer, its run ended or was given up, the idle worker started again under its id, and its new incarnation carried out the start.

Cause: the fence that rejects the old start protects a worker only once it has been called since it started. The owner stopped to poll a worker without runs, though the start could still arrive for 15 s.

Change: a worker is polled for 15 s after a start without an answer, also when it is idle, and 0.1 s after a poll that was not answered. A restart breaks the poll in progress, so the new incarnation gets the fence with the next one.

Why it works: the new incarnation is called within about 0.1 s of its start, in place of up to several seconds. It narrows the sequence and can't close it: a worker that restarts behind a partition, or while there is no owner, is not called.

--- a/lib/controller/link.go
+++ b/lib/controller/link.go
@@ -32,8 +32,11 @@
 	// so that it can be sent with the poll for the worker's next start.
 	ackDelay = time.Second
 	// pollRetryPause is the pause between polls of a worker that does not answer.
-	pollRetryPause  = 400 * time.Millisecond
-	maxQueuedOrders = 4096
+	// lateStartRetryPause replaces it while a start to the worker may be carried out late: if
+	// the worker has restarted, nothing but the next poll keeps it from that.
+	pollRetryPause      = 400 * time.Millisecond
+	lateStartRetryPause = 100 * time.Millisecond
+	maxQueuedOrders     = 4096
 	// unlistedLinkRetention is how long a link is kept after its worker has left
 	// the list. Entries that expired during a store outage return within seconds.
 	unlistedLinkRetention = 30 * time.Second
@@ -107,6 +110,8 @@
 	delivering     planner.Order
 	deliveredEnd   bool // a report has listed the end of the run that delivering is about
 	retrying       bool // an attempt to deliver a start had no answer
+	// lateStartUntil is until when a start that had no answer may be carried out.
+	lateStartUntil time.Time
 }
 
 func newLink(ctx context.Context, s *session, w task.Worker) *link {
@@ -226,12 +231,20 @@
 		task.ClockMillis(l.session.controller.config.Planner.MaxLease.Milliseconds())
 }
 
-// poll requests reports as long as the worker is busy or has ended runs that
-// are not acknowledged.
+// mayStartLate reports whether the worker may still carry out a start that had no answer.
+// The present incarnation rejects it by its fence. The next one has seen no fence, so it must
+// be polled before the start reaches it. The lock is held.
+func (l *link) mayStartLate() bool {
+	return l.session.controller.config.Timer.Now().Before(l.lateStartUntil)
+}
+
+// poll requests reports as long as the worker is busy, has ended runs that are not
+// acknowledged, or may carry out a start late.
 func (l *link) poll(ctx context.Context) {
 	for ctx.Err() == nil {
 		l.mu.Lock()
-		unacked, awaitingReport, busy := l.storedEnds > l.ackedEnds, l.awaitingReport, l.busy || l.awaitingReport
+		unacked, awaitingReport := l.storedEnds > l.ackedEnds, l.awaitingReport
+		busy := l.busy || l.awaitingReport || l.mayStartLate()
 		l.mu.Unlock()
 		if !busy && unacked {
 			l.waitSignal(ctx, ackDelay)
@@ -250,10 +263,20 @@
 			l.waitSignal(ctx, pollWait) // until the cycle has stored the report
 			continue
 		}
-		_ = timer.Sleep(ctx, l.session.controller.config.Timer, pollRetryPause)
+		_ = timer.Sleep(ctx, l.session.controller.config.Timer, l.retryPause())
 	}
 }
 
+// retryPause returns the pause after a poll that was not answered.
+func (l *link) retryPause() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.mayStartLate() {
+		return lateStartRetryPause
+	}
+	return pollRetryPause
+}
+
 // waitSignal waits for a signal for at most d.
 func (l *link) waitSignal(ctx context.Context, d time.Duration) {
 	after := l.session.controller.config.Timer.After(d)
@@ -372,6 +395,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.retrying = o.Kind == planner.Start
+	if l.retrying {
+		l.lateStartUntil = l.session.controller.config.Timer.Now().Add(planner.MaxCallDelay)
+	}
 }
 
 // releaseReports requests a report under a new fence if reports were held.
--- a/lib/planner/worker.go
+++ b/lib/planner/worker.go
@@ -22,10 +22,10 @@
 	// between them, after which a worker is barred. One run in twenty fails by a fault
 	// of its task, so two failures in a row most likely have their cause in the worker.
 	failuresToBar = 2
-	// maxCallDelay bounds how long after it was ordered a start that had no answer may be
+	// MaxCallDelay bounds how long after it was ordered a start that had no answer may be
 	// carried out. The platform delays calls by up to 12 s, and an order is sent for up
 	// to orderLifetime.
-	maxCallDelay = 15 * time.Second
+	MaxCallDelay = 15 * time.Second
 	// stopRetryInterval is the time after which an unanswered order to stop is repeated.
 	stopRetryInterval = time.Second
 	// barDuration is how long a failing worker is excluded from placement before it
@@ -510,7 +510,7 @@
 // of a run, or still have the lease that the start granted.
 func (p *Planner) mayStartLate(now time.Time, m *member) bool {
 	restarted := m.worker.Incarnation != 0 && m.incarnation != m.worker.Incarnation
-	return restarted && !now.After(p.config.LeaseExpiry(m.orderedAt.Add(maxCallDelay)))
+	return restarted && !now.After(p.config.LeaseExpiry(m.orderedAt.Add(MaxCallDelay)))
 }
 
 // runTimeRatio is the moving geometric mean of the ratios between the run times of a
