Send no queued start to a worker that has begun to drain

Cause: a start waits behind orders without an answer for up to 3 s. The planner considers the drain when it decides, the link did not when it sends.

Change: a link sends and repeats no start once the worker drains; the planner starts the task elsewhere.

TestQueuedStartIsNotSentToDrainingWorker failed before: both queued starts reached the worker.

--- a/lib/controller/link.go
+++ b/lib/controller/link.go
@@ -107,6 +107,7 @@
 	ackedEnds      task.EndSeq // highest number acknowledged to the worker
 	reportedEnds   task.EndSeq // highest number in any report
 	unlistedAt     time.Time   // when the worker left the platform's list, or zero
+	draining       bool        // the worker accepts no more starts
 	delivering     planner.Order
 	deliveredEnd   bool // a report has listed the end of the run that delivering is about
 	retrying       bool // an attempt to deliver a start had no answer
@@ -118,7 +119,7 @@
 	l := &link{session: s, name: w.ID, orders: pipe.NewQueue[planner.Order](maxQueuedOrders), wake: make(chan struct{}, 1),
 		health: dependency.New("worker "+string(w.ID), s.controller.config.Timer), awaitingReport: true,
 		fence: s.term.LastFence(), abortPoll: func() {}}
-	l.target = targetOf(w)
+	l.target, l.draining = targetOf(w), w.Draining
 	ctx, l.stop = context.WithCancel(ctx)
 	s.wg.Go(func() { l.poll(ctx) })
 	s.wg.Go(func() {
@@ -148,7 +149,7 @@
 		l.awaitingReport = true
 		l.signal()
 	}
-	l.target = targetOf(w)
+	l.target, l.draining = targetOf(w), l.draining || w.Draining
 	l.unlistedAt = time.Time{}
 }
 
@@ -173,6 +174,7 @@
 	l.target.Incarnation = incarnation
 	l.clock, l.clockAt = 0, time.Time{}
 	l.storedEnds, l.ackedEnds, l.reportedEnds = 0, 0, 0
+	l.draining = false
 	l.raiseFence("the worker has restarted")
 }
 
@@ -363,6 +365,7 @@
 		report.AsOf = l.clockAt
 	}
 	l.answered, l.awaitingReport = true, false
+	l.draining = l.draining || report.Draining
 	l.health.Observe(nil)
 	for _, end := range report.Ends {
 		if end.Task == l.delivering.Task && end.Run == l.delivering.Run {
@@ -448,7 +451,7 @@
 	for attempt := range orderAttempts {
 		now := l.session.controller.config.Timer.Now()
 		l.mu.Lock()
-		target, fence, deadline, ended := l.target, l.fence, l.leaseDeadline(now), l.deliveredEnd
+		target, fence, deadline, ended, draining := l.target, l.fence, l.leaseDeadline(now), l.deliveredEnd, l.draining
 		if deadline > 0 && o.Kind == planner.Start {
 			l.session.extensions.Set(l.name, now)
 		}
@@ -457,6 +460,9 @@
 			result = planner.Accepted // a worker that has restarted since would carry out the order again
 			break
 		}
+		if draining && o.Kind == planner.Start {
+			break // it began to drain while the order waited
+		}
 		if !l.session.term.Valid() || now.After(o.SendDeadline()) || target.Incarnation != o.Incarnation || deadline == 0 {
 			break
 		}
--- a/lib/controller/link_test.go
+++ b/lib/controller/link_test.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"bronzewinch.dev/lib/controller"
+	"bronzewinch.dev/lib/kv"
 	"bronzewinch.dev/lib/planner"
 	"bronzewinch.dev/lib/task"
+	"bronzewinch.dev/lib/unit"
 
 	"github.com/matryer/is"
 )
@@ -187,3 +189,39 @@
 	defer workers.mu.Unlock()
 	is.Equal(len(workers.started), 1)
 }
+
+// TestQueuedStartIsNotSentToDrainingWorker guards against a start that waits behind a slow
+// order and reaches the worker after it has begun to drain.
+func TestQueuedStartIsNotSentToDrainingWorker(t *testing.T) {
+	is := is.New(t)
+	workers := newFakeWorkers()
+	lists := fakeLists{workers: testWorkers(), changes: make(chan controller.Update)}
+	var c *testController
+	slow := true
+	workers.beforeStart = func(planner.Order) {
+		if !slow {
+			return
+		}
+		slow = false
+		draining := testWorkers()
+		draining[0].Draining = true
+		for version := range kv.Version(2) { // when the second update is taken, the first is queued
+			lists.changes <- controller.Update{Version: 2 + version, Workers: draining}
+		}
+		is.Equal(c.submit(jobB).Outcome, controller.OK) // after the first update
+	}
+	c = serveWithLists(t, newFakeStore(), workers, lists)
+	reply := c.Handle(t.Context(), controller.Request{Verb: controller.Submit, Host: testHost, Path: "/q/" + jobA, Key: testKey,
+		Job: &task.Job{Spec: "s", Steps: []task.Step{{Tasks: 2, Demand: unit.Resources{Accelerators: 4}, Estimate: time.Second}}}})
+	is.Equal(reply.Outcome, controller.OK)
+	workers.await(t, "the first start", func() bool { return len(workers.started) >= 1 })
+	other := testWorkers()
+	other[0].ID = "other"
+	lists.changes <- controller.Update{Version: 4, Workers: other}
+	workers.await(t, "the other starts", func() bool { return len(workers.started) >= 3 })
+	workers.mu.Lock()
+	defer workers.mu.Unlock()
+	for _, o := range workers.started[1:] {
+		is.Equal(o.Worker, other[0].ID)
+	}
+}
