Name the check of a suspected store for what it does

checkStore requests confirmations and hands over, so its pause and the time of the last check are no longer named after the hand-over alone. No change of behaviour.

--- a/lib/election/terms.go
+++ b/lib/election/terms.go
@@ -88,7 +88,8 @@
 
 // newEarlierTerms returns the terms before the one with a fence, which the node of c begins,
 // given the record of the last term. A term of the same node has ended, also if its
-// process was killed.
+// process was killed. Nothing is known if the last term left no record, or a record of a
+// version of the program that lists no earlier terms.
 func newEarlierTerms(last TermRecord, fence task.Fence, c Config) *earlierTerms {
 	e := &earlierTerms{inquiry: witness.NewInquiry()}
 	if !last.precedes(fence) || !last.Settled && len(last.Earlier) == 0 {
--- a/lib/relay/handover.go
+++ b/lib/relay/handover.go
@@ -27,9 +27,10 @@
 	// single rejection, for example by a rate limit that is briefly exceeded.
 	ownProbeAttempts = 2
 	ownProbePause    = 100 * time.Millisecond
-	// handOverPause is the pause between attempts to hand over. Each attempt calls
-	// the store from several nodes, and calls to the store have a cost.
-	handOverPause = 500 * time.Millisecond
+	// storeCheckPause is the pause between checks of a suspected store. Each check calls
+	// the store from several nodes, and calls to the store have a cost. It is short enough
+	// for two checks within witness.Validity.
+	storeCheckPause = 500 * time.Millisecond
 	// resignTimeout bounds the end of the term, which takes milliseconds.
 	resignTimeout = time.Second
 )
@@ -64,10 +65,10 @@
 // to wait until the lease of the owner key has expired.
 func (r *Relay) checkStore(ctx context.Context) {
 	now := r.config.Timer.Now()
-	if now.Sub(r.lastHandOverAttempt) < handOverPause {
+	if now.Sub(r.lastStoreCheck) < storeCheckPause {
 		return
 	}
-	r.lastHandOverAttempt = now
+	r.lastStoreCheck = now
 	var wg sync.WaitGroup
 	var reachable bool
 	wg.Go(func() { reachable = r.probeOwnStore(ctx) })
--- a/lib/relay/relay.go
+++ b/lib/relay/relay.go
@@ -153,7 +153,7 @@
 	ownerHealth *dependency.Dependency
 	leaving     atomic.Bool
 	// Used by the heartbeat goroutine only.
-	lastHandOverAttempt, lastInquiry, lastCandidates time.Time
+	lastStoreCheck, lastInquiry, lastCandidates time.Time
 
 	mu     sync.Mutex
 	seeds  []string
