Create the states of new shards before their names are published

It can make any test that starts a node fail.

Cause: setShards published the names before the states, and decideLoop used a state that was nil in between.

--- a/lib/owner/owner.go
+++ b/lib/owner/owner.go
@@ -174,10 +174,9 @@
 	}
 }
 
+// setShards replaces the shards. decideLoop looks up the state of each shard that it finds
+// named, so the states are created first.
 func (o *Owner) setShards(shards []id.Shard) {
-	o.mu.Lock()
-	o.shards = slices.Clone(shards)
-	o.mu.Unlock()
 	for _, name := range shards {
 		o.states.Update(name, func(s *shardState, ok bool) (*shardState, bool) {
 			if !ok {
@@ -186,6 +185,9 @@
 			return s, true
 		})
 	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.shards = slices.Clone(shards)
 }
 
 func (o *Owner) shardNames() []id.Shard {
--- a/standin/coordination/owner_test.go
+++ b/standin/coordination/owner_test.go
@@ -474,3 +474,27 @@
 		}
 	}
 }
+
+// TestShardsAreAddedWhileOthersAreClaimed guards against a node that crashes because a shard
+// is named before its state exists.
+func TestShardsAreAddedWhileOthersAreClaimed(t *testing.T) {
+	const owners, added = 8, 300
+	var wg sync.WaitGroup
+	for range owners {
+		wg.Go(func() {
+			s := kvservice.New(kvservice.Config{})
+			defer s.Close()
+			shards := make([]id.Shard, 0, 61+added)
+			for i := range 61 {
+				shards = append(shards, id.Shard(fmt.Sprintf("once/%02d", i)))
+			}
+			o, _ := startOwner(s, "n0", newMembers(1), shards, 0)
+			defer o.Close()
+			for i := range added {
+				shards = append(shards, id.Shard(fmt.Sprintf("place/%d", i)))
+				o.SetShards(shards)
+			}
+		})
+	}
+	wg.Wait()
+}
