--- a/review/standin-2/further.go
+++ b/review/standin-2/further.go
@@ -7,6 +7,9 @@
 
 // The scenarios in this file are no cases of the review. REPORT-2.md tells what they show.
 func init() {
+	scenarios["preempt"] = scenario{bounds: skyBounds, nodes: 3, guaranteed: 8, build: addMachines("a", "a"), play: playPreempt}
+	scenarios["kind"] = scenario{bounds: skyBounds, nodes: 3, guaranteed: 8, build: addMachines("a", "b", "b", "b", "b", "b", "b"), play: playKind}
+	scenarios["stale2"] = scenario{bounds: grownBounds, nodes: 3, guaranteed: 8, build: addMachines("a", "a", "a", "a"), play: playStale2}
 	scenarios["crash"] = scenario{bounds: largeBounds, nodes: 3, guaranteed: 8, build: addMachines("a", "a", "a", "a", "a", "a", "a", "a"), play: playCrash}
 	scenarios["pending"] = scenario{bounds: skyBounds, nodes: 3, guaranteed: 8,
 		build: addMachines("a", "a", "a", "a", "a", "a", "a", "a", "a", "a", "a", "b"), play: playPending}
@@ -183,3 +186,87 @@
 		w.rec.broken("MIXED", "%s gives %v as pending_jobs; %d jobs that were accepted over 5 s ago haven't begun", n.name, pending, waiting)
 	}
 }
+
+// playPreempt has an urgent job come that needs a whole machine. One machine has work that
+// may be stopped, the other has both tasks of a step of which one may be away.
+func playPreempt(w *world, trouble bool) error {
+	if _, err := w.submit(2, 1, step{Count: 1, CPU: 4000, MemMB: 1024, GPU: 8, EstimateMS: 60000, work: 60 * time.Second}); err != nil {
+		return err
+	}
+	time.Sleep(15 * time.Second)
+	j, err := w.submit(1, 2, step{Count: 2, CPU: 4000, MemMB: 1024, GPU: 4, LongRunning: true, MayMiss: 1})
+	if err != nil {
+		return err
+	}
+	for i := range 2 {
+		if _, err = w.awaitRun(j.task(0, i), 3*time.Second); err != nil {
+			return err
+		}
+	}
+	time.Sleep(5 * time.Second)
+	if trouble {
+		w.rec.add("an urgent job comes")
+		if _, err := w.submit(0, 3, step{Count: 1, CPU: 4000, MemMB: 1024, GPU: 8, EstimateMS: 3000, work: 3 * time.Second}); err != nil {
+			return err
+		}
+	}
+	time.Sleep(6 * time.Second)
+	return nil
+}
+
+// playKind has a minion crash and start again under its id as one of another kind.
+func playKind(w *world, trouble bool) error {
+	j, err := w.submit(1, 1, step{Count: 1, CPU: 4000, MemMB: 1024, GPU: 2, EstimateMS: 8000, Constraints: "a", work: 8 * time.Second})
+	if err != nil {
+		return err
+	}
+	r, err := w.awaitRun(j.task(0, 0), 3*time.Second)
+	if err != nil {
+		return err
+	}
+	time.Sleep(2 * time.Second)
+	if trouble {
+		m := w.machineOf(r)
+		w.mu.Lock()
+		id := m.minion.id
+		m.crash()
+		w.mu.Unlock()
+		time.Sleep(500 * time.Millisecond)
+		w.mu.Lock()
+		m.kind = "b"
+		m.up(id, beatInterval)
+		w.mu.Unlock()
+	}
+	time.Sleep(8 * time.Second)
+	w.call(w.nodes[0], http.MethodGet, 1, j.id, nil)
+	return nil
+}
+
+// playStale2 has a minion crash between two waves; the next one on its machine has another id.
+func playStale2(w *world, trouble bool) error {
+	if err := w.wave(1, 30, 1, 20*time.Second, "m04"); err != nil {
+		return err
+	}
+	time.Sleep(time.Second)
+	if trouble {
+		w.mu.Lock()
+		w.machines[0].crash()
+		w.mu.Unlock()
+		time.Sleep(time.Second)
+		w.mu.Lock()
+		w.machines[0].up("", 0)
+		w.mu.Unlock()
+	}
+	time.Sleep(8 * time.Second)
+	j, err := w.submit(1, 1, step{Count: 2, CPU: 2000, MemMB: 1024, GPU: 4, LongRunning: true, MayMiss: 1})
+	if err != nil {
+		return err
+	}
+	for i := range 2 {
+		if _, err = w.awaitRun(j.task(0, i), 3*time.Second); err != nil {
+			return err
+		}
+	}
+	time.Sleep(4 * time.Second)
+	return w.wave(2, 60, 1, 40*time.Second, w.machineOf(w.runsOf(j.task(0, 0))[0]).name)
+}
--- a/review/standin-2/minion.go
+++ b/review/standin-2/minion.go
@@ -228,7 +228,10 @@
 		hijackClose(rw)
 		return
 	}
-	if r.Header.Get("Bronzewinch-Target-Instance") != n.id {
+	if target := r.Header.Get("Bronzewinch-Target-Instance"); target != n.id {
+		if r.URL.Path == "/run-start" {
+			m.world.rec.add("start %s run %d for %s reaches %s: 421", o.Task, o.Run, target, n.id)
+		}
 		answer(rw, http.StatusMisdirectedRequest, struct{}{})
 		return
 	}
--- a/review/standin-2/stale.go
+++ b/review/standin-2/stale.go
@@ -8,7 +8,6 @@
 
 func init() {
 	scenarios["stale"] = scenario{bounds: grownBounds, nodes: 3, guaranteed: 8, build: addMachines("a", "a", "a", "a"), play: playStale}
-	scenarios["stale2"] = scenario{bounds: grownBounds, nodes: 3, guaranteed: 8, build: addMachines("a", "a", "a", "a"), play: playStale2}
 }
 
 // wave requests a wave, as an operator does, and waits until it is said to be completed.
@@ -56,32 +55,3 @@
 	}
 	return w.wave(2, 60, 1, 40*time.Second, second...)
 }
-
-// playStale2 has a minion crash between two waves; the next one on its machine has another id.
-func playStale2(w *world, trouble bool) error {
-	if err := w.wave(1, 30, 1, 20*time.Second, "m04"); err != nil {
-		return err
-	}
-	time.Sleep(time.Second)
-	if trouble {
-		w.mu.Lock()
-		w.machines[0].crash()
-		w.mu.Unlock()
-		time.Sleep(time.Second)
-		w.mu.Lock()
-		w.machines[0].up("", 0)
-		w.mu.Unlock()
-	}
-	time.Sleep(8 * time.Second)
-	j, err := w.submit(1, 1, step{Count: 2, CPU: 2000, MemMB: 1024, GPU: 4, LongRunning: true, MayMiss: 1})
-	if err != nil {
-		return err
-	}
-	for i := range 2 {
-		if _, err = w.awaitRun(j.task(0, i), 3*time.Second); err != nil {
-			return err
-		}
-	}
-	time.Sleep(4 * time.Second)
-	return w.wave(2, 60, 1, 40*time.Second, w.machineOf(w.runsOf(j.task(0, 0))[0]).name)
-}
