Let each case's script read TROUBLE and write its record

Both were done, but out of sight: the stand-ins read the variable, and a shared script named the record. A case that can't run says why in its record.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -42,7 +42,8 @@
 
 func play() int {
 	name := flag.String("case", "", "the case to play")
-	path := flag.String("record", "record.txt", "the file for what was sent, answered and run")
+	path := flag.String("record", "record.txt", "the file to which is added what was sent, answered and run")
+	disruptions := flag.String("trouble", "1", "0 leaves the disruptions out")
 	flag.Parse()
 	s, ok := scenarios[*name]
 	if !ok {
@@ -54,15 +55,18 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
-	dir, err := os.MkdirTemp("", "review-2-")
-	if err != nil {
+	failed := func(err error) int {
+		rec.add("the case could not be played: %v", err)
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
+	dir, err := os.MkdirTemp("", "review-2-")
+	if err != nil {
+		return failed(err)
+	}
 	w, err := newWorld(rec, dir, s.bounds)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 2
+		return failed(err)
 	}
 	defer w.close()
 	stopped := make(chan os.Signal, 1)
@@ -76,7 +80,7 @@
 		w.close()
 		os.Exit(2)
 	}()
-	trouble := os.Getenv("TROUBLE") != "0"
+	trouble := *disruptions != "0"
 	rec.add("case %s, disruptions: %v", *name, trouble)
 	w.configure(s.guaranteed)
 	for _, step := range []func() error{
@@ -85,9 +89,7 @@
 		func() error { time.Sleep(3500 * time.Millisecond); return s.play(w, trouble) },
 	} {
 		if err := step(); err != nil {
-			rec.add("the case could not be played: %v", err)
-			fmt.Fprintln(os.Stderr, err)
-			return 2
+			return failed(err)
 		}
 	}
 	if n := rec.broke(); n > 0 {
--- a/review/standin-2/record.go
+++ b/review/standin-2/record.go
@@ -17,7 +17,7 @@
 }
 
 func newRecord(path string) (*record, error) {
-	f, err := os.Create(path)
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
 	return &record{file: f, start: time.Now()}, err
 }
 
