Start a service task again when its end as done is reported late

Callers saw a service task that was never started again, and its job as completed, though nobody had cancelled it (review/8): the task ended as done on a worker that was cut off, and the worker reported the end after the lease had expired.

Cause: handleLateEnd completes the group of a run that the planner has given up, without the check for service tasks that endMember makes.

Change: a late success does not complete a service task. A group of service tasks that an earlier version stored as done starts again when it is restored.

--- a/lib/planner/job.go
+++ b/lib/planner/job.go
@@ -315,9 +315,11 @@
 }
 
 func (p *Planner) restoreGroup(now, leaseExpiry time.Time, g *group, stored task.GroupProgress) {
-	g.done, g.run, g.failures, g.checkpoint = stored.Done, stored.Run, stored.Failures, stored.Checkpoint
+	// Earlier versions stored service tasks as done if a late report said so.
+	g.done = stored.Done && !g.step().Service
+	g.run, g.failures, g.checkpoint = stored.Run, stored.Failures, stored.Checkpoint
 	g.startedAt = now
-	if stored.Done {
+	if g.done {
 		g.occurrence.remaining--
 	}
 	g.job.started = g.job.started || stored.Run > 0
--- a/lib/planner/life_test.go
+++ b/lib/planner/life_test.go
@@ -232,3 +232,51 @@
 		})
 	}
 }
+
+// TestLateSuccess guards against a service task that is never started again because a run of
+// it that the planner has given up is reported as done, and against a second run of another
+// task in that case.
+func TestLateSuccess(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		step  task.Step
+		state task.State
+		runs  int // after the report
+	}{
+		{"service task", task.Step{Tasks: 1, Service: true}, task.Running, 1},
+		{"gang of service tasks", task.Step{Tasks: 2, Service: true, Gang: true}, task.Running, 2},
+		{"other task", task.Step{Tasks: 1}, task.Completed, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSim(t, 1, 1)
+			starts := submitAndPlan(s, singleStepJob(1, test.step), 1)
+			for _, o := range starts {
+				s.planner.HandleOrderResult(s.now, o, planner.Accepted)
+			}
+			s.now = s.now.Add(time.Minute)
+			s.planner.Tick(s.now)
+			is.True(!s.planner.Busy(starts[0].Worker)) // its lease has expired
+			is.Equal(countOrders(endRun(s, starts[0], task.EndDone).Orders, planner.Start), test.runs)
+			status, _ := s.planner.Status(starts[0].Task.Job)
+			is.Equal(status.State, test.state)
+		})
+	}
+}
+
+// TestServiceTaskStoredAsDone guards against a service task that is not started because an
+// earlier version of an owner has stored it as done.
+func TestServiceTaskStoredAsDone(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, 1)
+	j := singleStepJob(1, task.Step{Tasks: 2, Service: true})
+	j.Queue = simQueue(1)
+	s.planner.Restore(s.now, s.now, j, task.Progress{Job: j.ID, Occurrences: []task.OccurrenceProgress{{
+		Groups: []task.GroupProgress{{Run: 1, Done: true}, {Run: 1}}}}})
+	s.planner.Resume(s.now)
+	s.now = s.now.Add(time.Second)
+	s.planner.Plan(s.now)
+	orders := s.planner.TakeChanges().Orders
+	is.Equal(countOrders(orders, planner.Start), 2)
+	is.Equal(orders[0].Run, task.RunNumber(2))
+}
--- a/lib/planner/worker.go
+++ b/lib/planner/worker.go
@@ -360,10 +360,10 @@
 }
 
 // handleLateEnd accepts the success of a run that the planner has already ended, if
-// its group has not started again.
+// its group has not started again. Service tasks start again however they end.
 func (p *Planner) handleLateEnd(now time.Time, name id.Worker, e task.EndedRun) {
 	g := p.findGroup(e.Task)
-	if g == nil || e.Reason != task.EndDone || g.job.state.Ended() || g.run != e.Run || !g.idle() {
+	if g == nil || e.Reason != task.EndDone || g.step().Service || g.job.state.Ended() || g.run != e.Run || !g.idle() {
 		return
 	}
 	p.logDecision(Decision{Event: "ended", Job: g.job.ID, Task: e.Task, Run: e.Run, Worker: name,
