Count leases from starts that were sent, and send none to silent workers

Cause: each start that was ordered on a worker kept its runs for 9.3 s more, 3 s for the order and 6.3 s for the lease, also when the start was rejected or never sent. A crashed worker that is still listed got such starts every 2 s.

Change: only a start without a result holds the runs of its worker. Leases count from calls that may have been carried out. A start that reached no worker, or another one at the address, grants none, and its task can start elsewhere at once. A worker that did not take or answer a start gets no further ones until it has reported.

--- a/lib/controller/cycle.go
+++ b/lib/controller/cycle.go
@@ -65,6 +65,17 @@
 	s.planner.Tick(now)
 }
 
+// recordLeaseGrant records that a call that was sent at sent may extend the lease of a
+// worker. The planner receives it before it next decides which leases have expired.
+func (s *session) recordLeaseGrant(name id.Worker, sent time.Time) {
+	s.extensions.Update(name, func(last time.Time, _ bool) (time.Time, bool) {
+		if sent.After(last) {
+			last = sent
+		}
+		return last, true
+	})
+}
+
 // linkCheckPeriod is how often links are checked for expiry.
 const linkCheckPeriod = time.Second
 
--- a/lib/controller/link.go
+++ b/lib/controller/link.go
@@ -99,15 +99,16 @@
 	abortPoll      context.CancelFunc // ends the poll in progress
 	clock          task.ClockMillis   // lower bound of the worker's clock at clockAt
 	clockAt        time.Time
-	answered       bool        // the last poll was answered, and all starts since
-	busy           bool        // some runs on the worker are not known to have ended
-	colocated      bool        // best-effort tasks run beside service tasks
-	awaitingReport bool        // the planner needs a first report
-	storedEnds     task.EndSeq // highest number stored by a cycle
-	ackedEnds      task.EndSeq // highest number acknowledged to the worker
-	reportedEnds   task.EndSeq // highest number in any report
-	unlistedAt     time.Time   // when the worker left the platform's list, or zero
-	draining       bool        // the worker accepts no more starts
+	answered       bool          // the last poll was answered, and all starts since
+	busy           bool          // some runs on the worker are not known to have ended
+	colocated      bool          // best-effort tasks run beside service tasks
+	awaitingReport bool          // the planner needs a first report
+	reportArrived  chan struct{} // closed when awaitingReport becomes false
+	storedEnds     task.EndSeq   // highest number stored by a cycle
+	ackedEnds      task.EndSeq   // highest number acknowledged to the worker
+	reportedEnds   task.EndSeq   // highest number in any report
+	unlistedAt     time.Time     // when the worker left the platform's list, or zero
+	draining       bool          // the worker accepts no more starts
 	delivering     planner.Order
 	deliveredEnd   bool // a report has listed the end of the run that delivering is about
 	retrying       bool // an attempt to deliver a start had no answer
@@ -118,7 +119,7 @@
 
 func newLink(ctx context.Context, s *session, w task.Worker) *link {
 	l := &link{session: s, name: w.ID, orders: pipe.NewQueue[planner.Order](maxQueuedOrders), wake: make(chan struct{}, 1),
-		health: dependency.New("worker "+string(w.ID), s.controller.config.Timer), awaitingReport: true,
+		health: dependency.New("worker "+string(w.ID), s.controller.config.Timer), awaitingReport: true, reportArrived: make(chan struct{}),
 		fence: s.term.LastFence(), abortPoll: func() {}}
 	l.target, l.draining, l.lateStartUntil = targetOf(w), w.Draining, s.planner.LateStartUntil(w.ID)
 	ctx, l.stop = context.WithCancel(ctx)
@@ -147,8 +148,7 @@
 		l.startIncarnation(w.Incarnation)
 	}
 	if !l.unlistedAt.IsZero() {
-		l.awaitingReport = true
-		l.signal()
+		l.requireReport()
 	}
 	l.target, l.draining = targetOf(w), l.draining || w.Draining
 	l.unlistedAt = time.Time{}
@@ -185,13 +185,39 @@
 // requested before do not count. The lock is held.
 func (l *link) raiseFence(reason string) {
 	l.fence = l.session.term.NextFence()
-	l.answered, l.awaitingReport = false, true
+	l.answered = false
 	l.abortPoll()
-	l.signal()
+	l.requireReport()
 	klog.InfoS("calls to the worker get a new fence", "event", "fence", "worker", l.name, "incarnation", l.target.Incarnation,
 		"fence", l.fence, "reason", reason)
 }
 
+// requireReport polls the worker until it answers. Until then it gets no starts. The lock
+// is held.
+func (l *link) requireReport() {
+	if !l.awaitingReport {
+		l.awaitingReport, l.reportArrived = true, make(chan struct{})
+	}
+	l.signal()
+}
+
+// awaitReport waits for at most d until a required report has arrived.
+func (l *link) awaitReport(ctx context.Context, d time.Duration) {
+	l.mu.Lock()
+	awaiting, arrived := l.awaitingReport, l.reportArrived
+	l.mu.Unlock()
+	if !awaiting {
+		return
+	}
+	after := l.session.controller.config.Timer.After(d)
+	defer after.Stop()
+	select {
+	case <-arrived:
+	case <-after.C:
+	case <-ctx.Done():
+	}
+}
+
 func (l *link) signal() {
 	select {
 	case l.wake <- struct{}{}:
@@ -333,7 +359,7 @@
 		}
 	}
 	if req.Until > 0 {
-		l.session.extensions.Set(l.name, now)
+		l.session.recordLeaseGrant(l.name, now)
 	}
 	if immediate || !l.answered || l.storedEnds < l.reportedEnds {
 		req.Wait = 0
@@ -365,7 +391,11 @@
 	if l.clockAt.Before(report.AsOf) {
 		report.AsOf = l.clockAt
 	}
-	l.answered, l.awaitingReport = true, false
+	l.answered = true
+	if l.awaitingReport {
+		l.awaitingReport = false
+		close(l.reportArrived)
+	}
 	l.draining = l.draining || report.Draining
 	l.health.Observe(nil)
 	for _, end := range report.Ends {
@@ -410,14 +440,18 @@
 	}
 }
 
-// releaseReports requests a report under a new fence if reports were held.
-func (l *link) releaseReports() {
+// releaseReports requests a report under a new fence if reports were held, and a report if
+// the order did not reach the worker.
+func (l *link) releaseReports(result planner.OrderResult) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.retrying {
 		l.retrying = false
 		l.raiseFence("a start was not answered")
 	}
+	if result == planner.Undelivered {
+		l.requireReport()
+	}
 }
 
 type reportEvent struct {
@@ -458,6 +492,9 @@
 
 // deliver sends one order and retries it while no answer arrives.
 func (l *link) deliver(ctx context.Context, o planner.Order) {
+	if o.Kind == planner.Start {
+		l.awaitReport(ctx, orderTimeout)
+	}
 	l.mu.Lock()
 	l.delivering, l.deliveredEnd = o, false
 	l.mu.Unlock()
@@ -465,17 +502,16 @@
 	for attempt := range orderAttempts {
 		now := l.session.controller.config.Timer.Now()
 		l.mu.Lock()
-		target, fence, deadline, ended, draining := l.target, l.fence, l.leaseDeadline(now), l.deliveredEnd, l.draining
-		if deadline > 0 && o.Kind == planner.Start {
-			l.session.extensions.Set(l.name, now)
-		}
+		target, fence, deadline, ended := l.target, l.fence, l.leaseDeadline(now), l.deliveredEnd
+		// It began to drain while the order waited, or has not answered since an earlier start.
+		unfit := o.Kind == planner.Start && (l.draining || l.awaitingReport)
 		l.mu.Unlock()
 		if ended {
 			result = planner.Accepted // a worker that has restarted since would carry out the order again
 			break
 		}
-		if draining && o.Kind == planner.Start {
-			break // it began to drain while the order waited
+		if unfit {
+			break
 		}
 		if !l.session.term.Valid() || now.After(o.SendDeadline()) || target.Incarnation != o.Incarnation || deadline == 0 {
 			break
@@ -483,6 +519,9 @@
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 		r, err := l.session.controller.config.Workers.SendOrder(callCtx, target, o, fence, deadline)
 		cancel()
+		if o.Kind == planner.Start && (err != nil || r != planner.Undelivered) {
+			l.session.recordLeaseGrant(l.name, now) // before the result, from which on the planner relies on it
+		}
 		if err == nil {
 			// A rejection does not show whether an earlier, unanswered attempt was
 			// executed.
@@ -499,10 +538,11 @@
 		klog.InfoS("order not answered", "event", "order", "kind", o.Kind, "task", o.Task.String(), "run", o.Run,
 			"worker", o.Worker, "attempt", attempt+1, "cause", err)
 	}
-	l.releaseReports()
 	if result != planner.Accepted {
 		klog.InfoS("order not accepted", "event", "order", "kind", o.Kind, "task", o.Task.String(), "run", o.Run,
 			"worker", o.Worker, "answer", result)
 	}
 	_ = l.session.events.Put(&orderResultEvent{order: o, result: result}) // fails only if the session has ended or the queue is full
+	// A report that shows that the worker answers again must follow the result.
+	l.releaseReports(result)
 }
--- a/lib/planner/job.go
+++ b/lib/planner/job.go
@@ -61,6 +61,7 @@
 	// the run. If a report requested later does not list the run, the run has ended.
 	confirmedAt   time.Time
 	running       bool
+	startPending  bool // the result of the order to start is not known yet
 	stopRequested bool
 	stopSentAt    time.Time // when the last order to stop was issued
 	percent       task.Percent
--- a/lib/planner/plan.go
+++ b/lib/planner/plan.go
@@ -346,7 +346,7 @@
 	for i, c := range targets {
 		ps.take(c, s.Reserved())
 		m := &member{group: g, index: g.firstIndex + i, worker: c.worker, incarnation: c.Incarnation, orderedAt: ps.now,
-			progressedAt: ps.now, pace: task.FullPace}
+			progressedAt: ps.now, pace: task.FullPace, startPending: true}
 		g.members = append(g.members, m)
 		c.addMember(m)
 		ps.planner.enqueueOrder(ps.now, Start, m)
--- a/lib/planner/planner.go
+++ b/lib/planner/planner.go
@@ -247,17 +247,13 @@
 		if m.group.job.queue.Advised {
 			o.Ticket = m.group.occurrence.adviceFor(m.group.stepIndex).tickets[m.worker.ID].value
 		}
-		w := m.worker
-		if expiry := p.config.LeaseExpiry(now.Add(orderLifetime)); expiry.After(w.leaseExpiry) {
-			w.leaseExpiry = expiry
-		}
 	}
 	p.orders = append(p.orders, o)
 }
 
 // orderLifetime bounds the time in which an order waits for its record to be stored,
 // is sent, and is sent again. Older orders are dropped, as the expiry of the lease that
-// a start may grant is computed from it.
+// a start without a result may have granted is computed from it.
 const orderLifetime = 3 * time.Second
 
 // SendDeadline returns the time after which the order must no longer be sent.
--- a/lib/planner/worker.go
+++ b/lib/planner/worker.go
@@ -51,7 +51,7 @@
 	// restoredLeaseExpiry is when the leases that earlier owners may have granted have
 	// expired even on a slow clock.
 	restoredLeaseExpiry time.Time
-	reported            bool         // this owner has received a report from it
+	reported            bool         // a report has arrived in this term, and since the last start that did not reach it
 	barredUntil         time.Time    // no starts before this time
 	failedJobs          []id.Job     // jobs that failed here since the last success
 	reservedForUpkeep   bool         // its VM is being drained or has its upkeep
@@ -429,6 +429,9 @@
 	NoCapacity OrderResult = "full"
 	// Rejected means that the worker did nothing, for another reason.
 	Rejected OrderResult = "refused"
+	// Undelivered means that the order did not reach the worker: no connection to its
+	// address was opened, or another worker answers there.
+	Undelivered OrderResult = "undelivered"
 	// TicketRejected means that the worker did not accept the ticket of the start.
 	TicketRejected OrderResult = "noTicket"
 	// NotSent means that the order was not sent.
@@ -438,7 +441,8 @@
 	Unanswered OrderResult = "unanswered"
 )
 
-// HandleOrderResult records the result of an order to a worker.
+// HandleOrderResult records the result of an order to a worker. If the order may have
+// extended a lease, RecordLeaseGrant is called before.
 func (p *Planner) HandleOrderResult(now time.Time, o Order, result OrderResult) {
 	w, ok := p.workers[o.Worker]
 	if !ok {
@@ -459,6 +463,7 @@
 		return
 	}
 	g := m.group
+	m.startPending = false
 	switch result {
 	case Accepted:
 		m.running = true
@@ -467,7 +472,7 @@
 			m.confirmedAt, m.progressedAt = now, now
 		}
 	case Unanswered:
-		w.barredUntil = now.Add(unansweredBackoff)
+		w.barredUntil, w.reported = now.Add(unansweredBackoff), false
 		p.stopGroup(now, g, "a start was not answered")
 	default:
 		w.barredUntil = now.Add(noCapacityBackoff)
@@ -476,6 +481,8 @@
 			delete(g.occurrence.adviceFor(g.stepIndex).tickets, w.ID)
 		case result == Rejected:
 			w.barredUntil = now.Add(unansweredBackoff)
+		case result == Undelivered:
+			w.barredUntil, w.reported = now.Add(unansweredBackoff), false
 		}
 		p.endMember(now, m, task.EndLost, "", "start "+string(result))
 		p.stopGroup(now, g, "a member of the gang could not start")
@@ -490,7 +497,7 @@
 		p.openDueOccurrences(now, j)
 	}
 	for _, w := range slices.Clone(p.workersByID) { // the end of the last run removes an unlisted worker
-		if len(w.members) > 0 && now.After(w.leaseExpiry) && now.After(w.restoredLeaseExpiry) {
+		if len(w.members) > 0 && p.leasesExpired(now, w) {
 			for _, m := range slices.Clone(w.members) {
 				if !p.mayStartLate(now, m) {
 					p.loseMember(now, m, "the worker did not answer before its lease expired")
@@ -516,6 +523,16 @@
 	}
 }
 
+// leasesExpired reports whether no call can have given the runs on a worker a lease that
+// lasts until now. A start extends the leases of all runs on its worker. Until its result
+// is known it may have been sent at any time up to its deadline.
+func (p *Planner) leasesExpired(now time.Time, w *worker) bool {
+	pending := func(m *member) bool {
+		return m.startPending && !now.After(p.config.LeaseExpiry(m.orderedAt.Add(orderLifetime)))
+	}
+	return now.After(w.leaseExpiry) && now.After(w.restoredLeaseExpiry) && !slices.ContainsFunc(w.members, pending)
+}
+
 // mayStartLate reports whether a worker that has restarted may still carry out the start
 // of a run, or still have the lease that the start granted.
 func (p *Planner) mayStartLate(now time.Time, m *member) bool {
