Let queued starts share the wait for a silent worker's report

Cause: each start that is queued for a worker that does not answer waited 0.4 s in turn for a report, so the last of 28 was placed elsewhere after 11 s, beyond the lifetime of its order.

Change: the wait ends 0.4 s after the report was required, for all of them.

--- a/lib/controller/link.go
+++ b/lib/controller/link.go
@@ -103,6 +103,7 @@
 	busy           bool          // some runs on the worker are not known to have ended
 	colocated      bool          // best-effort tasks run beside service tasks
 	awaitingReport bool          // the planner needs a first report
+	requiredAt     time.Time     // when awaitingReport became true
 	reportArrived  chan struct{} // closed when awaitingReport becomes false
 	storedEnds     task.EndSeq   // highest number stored by a cycle
 	ackedEnds      task.EndSeq   // highest number acknowledged to the worker
@@ -197,19 +198,23 @@
 func (l *link) requireReport() {
 	if !l.awaitingReport {
 		l.awaitingReport, l.reportArrived = true, make(chan struct{})
+		l.requiredAt = l.session.controller.config.Timer.Now()
 	}
 	l.signal()
 }
 
-// awaitReport waits for at most d until a required report has arrived.
-func (l *link) awaitReport(ctx context.Context, d time.Duration) {
+// awaitReport waits until a required report has arrived, or has been required for longer
+// than orderTimeout. All queued starts share this time.
+func (l *link) awaitReport(ctx context.Context) {
+	clock := l.session.controller.config.Timer
 	l.mu.Lock()
 	awaiting, arrived := l.awaitingReport, l.reportArrived
+	wait := orderTimeout - clock.Now().Sub(l.requiredAt)
 	l.mu.Unlock()
-	if !awaiting {
+	if !awaiting || wait <= 0 {
 		return
 	}
-	after := l.session.controller.config.Timer.After(d)
+	after := clock.After(wait)
 	defer after.Stop()
 	select {
 	case <-arrived:
@@ -493,7 +498,7 @@
 // deliver sends one order and retries it while no answer arrives.
 func (l *link) deliver(ctx context.Context, o planner.Order) {
 	if o.Kind == planner.Start {
-		l.awaitReport(ctx, orderTimeout)
+		l.awaitReport(ctx)
 	}
 	l.mu.Lock()
 	l.delivering, l.deliveredEnd = o, false
