Tell the planner of starts that the order queue does not accept

Cause: a worker's order queue drops what exceeds 4,096 orders. The planner was not told, so the tasks of dropped starts counted as running. The class is that of the refused starts: a start that is never sent has no result.

Change: a dropped order has the result notSent.

--- a/lib/controller/link.go
+++ b/lib/controller/link.go
@@ -234,6 +234,7 @@
 func (l *link) enqueue(o planner.Order) {
 	if err := l.orders.Put(o); err != nil {
 		klog.InfoS("order dropped; the order queue did not accept it", "event", "order", "worker", l.name, "task", o.Task.String(), "cause", err)
+		_ = l.session.events.Put(&orderResultEvent{order: o, result: planner.NotSent}) // fails only if the session has ended or the queue is full
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/lib/controller/link_test.go
+++ b/lib/controller/link_test.go
@@ -118,6 +118,31 @@
 	is.Equal(attempts, []task.RunNumber{1, 2})
 }
 
+// TestDroppedStartsAreRepeated guards against tasks that count as running for good because the
+// queue of orders of their worker did not accept their starts.
+func TestDroppedStartsAreRepeated(t *testing.T) {
+	is := is.New(t)
+	const tasks = 4500 // more than the queue holds
+	workers := newFakeWorkers()
+	full := make(chan struct{})
+	workers.beforeStart = func(planner.Order) { <-full }
+	c := serve(t, newFakeStore(), workers)
+	reply := c.Handle(t.Context(), controller.Request{Verb: controller.Submit, Host: testHost, Path: "/q/" + jobA, Key: testKey,
+		Job: &task.Job{Spec: "s", Steps: []task.Step{{Tasks: tasks, Estimate: time.Second}}}})
+	is.Equal(reply.Outcome, controller.OK) // the starts are queued now
+	close(full)
+	workers.await(t, "the starts of all tasks", func() bool {
+		if len(workers.started) < tasks {
+			return false
+		}
+		started := make(map[task.Name]bool)
+		for _, o := range workers.started {
+			started[o.Task] = true
+		}
+		return len(started) == tasks
+	})
+}
+
 // TestUnlistedWorkerIsPolledForLateStart guards against a worker that restarts under its id and
 // carries out a start of an earlier owner before its entry is in the list again.
 func TestUnlistedWorkerIsPolledForLateStart(t *testing.T) {
