--- a/lib/controller/fake_test.go
+++ b/lib/controller/fake_test.go
@@ -202,6 +202,7 @@
 	startUntil   task.ClockMillis         // end of the lease in the last start
 	// beforeStart, if not nil, is called with each start, without the lock.
 	beforeStart func(o planner.Order)
+	silent      id.Worker // answers no call
 }
 
 func newFakeWorkers() *fakeWorkers {
@@ -234,7 +235,23 @@
 	}
 }
 
+// awaitTimeout waits until a call to a silent worker is given up. It returns nil if the
+// worker answers.
+func (w *fakeWorkers) awaitTimeout(ctx context.Context, name id.Worker) error {
+	w.mu.Lock()
+	silent := w.silent == name
+	w.mu.Unlock()
+	if !silent {
+		return nil
+	}
+	<-ctx.Done()
+	return problem.New(problem.Unknown, problem.Detail{Field: "worker", Remedy: "repeat"})
+}
+
 func (w *fakeWorkers) Poll(ctx context.Context, t controller.Target, req controller.PollRequest) (task.Report, error) {
+	if err := w.awaitTimeout(ctx, t.Worker); err != nil {
+		return task.Report{}, err
+	}
 	w.mu.Lock()
 	w.polls = append(w.polls, req)
 	w.acked = max(w.acked, req.Acked)
@@ -268,11 +285,14 @@
 		Active: slices.Clone(w.runs[t.Worker]), Ends: slices.Clone(w.ends[t.Worker])}, nil
 }
 
-func (w *fakeWorkers) SendOrder(_ context.Context, t controller.Target, o planner.Order, fence task.Fence,
+func (w *fakeWorkers) SendOrder(ctx context.Context, t controller.Target, o planner.Order, fence task.Fence,
 	until task.ClockMillis) (planner.OrderResult, error) {
 	if o.Kind == planner.Start && w.beforeStart != nil {
 		w.beforeStart(o)
 	}
+	if err := w.awaitTimeout(ctx, t.Worker); err != nil {
+		return "", err
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	defer w.notify()
--- a/lib/controller/link_test.go
+++ b/lib/controller/link_test.go
@@ -143,6 +143,31 @@
 	})
 }
 
+// TestQueuedStartsLeaveSilentWorker guards against starts that each wait in turn for a worker
+// that has stopped to answer, although another one has room for them.
+func TestQueuedStartsLeaveSilentWorker(t *testing.T) {
+	is := is.New(t)
+	const tasks = 8
+	workers := newFakeWorkers()
+	listed := append(testWorkers(), testWorkers()...)
+	listed[1].ID = "other"
+	workers.beforeStart = func(o planner.Order) {
+		workers.mu.Lock()
+		defer workers.mu.Unlock()
+		if workers.silent == "" {
+			workers.silent = o.Worker
+		}
+	}
+	c := serveWithLists(t, newFakeStore(), workers, fakeLists{workers: listed})
+	accepted := time.Now()
+	reply := c.Handle(t.Context(), controller.Request{Verb: controller.Submit, Host: testHost, Path: "/q/" + jobA, Key: testKey, Job: &task.Job{
+		Spec: "s", Steps: []task.Step{{Tasks: tasks, Demand: unit.Resources{Accelerators: 1}, Estimate: time.Second}}}})
+	is.Equal(reply.Outcome, controller.OK)
+	// The start without an answer has to wait for the lease that it may have granted.
+	workers.await(t, "the starts of the others", func() bool { return len(workers.started) == tasks-1 })
+	is.True(time.Since(accepted) < 3*time.Second) // the lifetime of an order
+}
+
 // TestUnlistedWorkerIsPolledForLateStart guards against a worker that restarts under its id and
 // carries out a start of an earlier owner before its entry is in the list again.
 func TestUnlistedWorkerIsPolledForLateStart(t *testing.T) {
