Let the handler of a test never answer before the call is given up

Cause: the handler returned a success when the call's time had ended. That can reach the server before the client notices the end of the same time.

Change: the handler waits for the end of the test. The test still requires that the call fails, and now allows no answer at all.

The code of lib/peer is unchanged.

--- a/lib/peer/silence_test.go
+++ b/lib/peer/silence_test.go
@@ -171,7 +171,7 @@
 // because another call on its connection was not answered in time.
 func TestReplacedConnectionFinishesItsCalls(t *testing.T) {
 	is := is.New(t)
-	release, started := make(chan struct{}), make(chan struct{}, 1)
+	release, started, never := make(chan struct{}), make(chan struct{}, 1), make(chan struct{})
 	addr, s := startServer(t, func(ctx context.Context, q request) (response, error) {
 		if q.Text == "slow" {
 			started <- struct{}{}
@@ -181,11 +181,12 @@
 			}
 		}
 		if q.Text == "never" {
-			<-ctx.Done()
+			<-never // the end of the call's time may reach the server before the client
 		}
 		return response(q), nil
 	})
 	defer s.Close(t.Context())
+	defer close(never)
 	forwarder := startProxy(t, addr)
 	p := peer.NewPool(peer.PoolConfig{})
 	defer p.Close()
