Keep the resources of gangs on draining workers after a change of the owner

Operators saw jobs placed on the workers of a running claim, and findings of the audit, after a worker had been drained and returned while its zone changed its owner.

Cause: a new owner of a zone reserves the resources of running gangs with the check for new placements. A gang with a member on a worker that is excluded from placement then held no resources at all. The same holds if the drain begins between a decision and its reservation.

Change: fleet.Zone.Restore allocates without that check, and the placer uses it for all gangs, as their decisions have been made.

Measured: TestGangOnDrainingWorkerKeepsResources failed in both cases before and passes.

--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -98,7 +98,16 @@
 // claim may also use the resources of gangs that are stopping; any other gang needs
 // free resources. The error is a Conflict if the resources are not available, and
 // NotFound if a worker is not in the zone.
-func (z *Zone) Reserve(g Gang) error {
+func (z *Zone) Reserve(g Gang) error { return z.allocate(g, (*Worker).checkPlacement) }
+
+// Restore allocates the resources of a gang that was placed earlier. Unlike
+// Reserve, it accepts workers that are excluded from placement: the gang may run
+// on a worker that drains or is lost.
+func (z *Zone) Restore(g Gang) error { return z.allocate(g, (*Worker).checkFit) }
+
+// allocate allocates the resources of all members of a gang, or none of them if
+// check returns an error for one of them.
+func (z *Zone) allocate(g Gang, check func(*Worker, *Gang, job.Member) error) error {
 	if len(g.Members) == 0 {
 		return problem.New(problem.Invalid, problem.Detail{
 			Field: "members", Limit: "1 or more", Remedy: "reserve a gang with at least one member"})
@@ -119,7 +128,7 @@
 	for i, m := range gang.Members {
 		p := positions[i]
 		w := &next[p.Rack].Workers[p.Worker]
-		if err := w.checkFit(gang, m); err != nil {
+		if err := check(w, gang, m); err != nil {
 			return err
 		}
 		w.allocate(gang, m.Resources)
--- a/lib/fleet/view.go
+++ b/lib/fleet/view.go
@@ -105,13 +105,20 @@
 	return w.Free
 }
 
-// checkFit returns a Conflict error if member m of gang g can't be allocated.
-func (w *Worker) checkFit(g *Gang, m job.Member) error {
+// checkPlacement returns a Conflict error if member m of gang g can't be placed on
+// the worker.
+func (w *Worker) checkPlacement(g *Gang, m job.Member) error {
 	if w.Exclusion != NotExcluded {
 		return problem.New(problem.Conflict, problem.Detail{
 			Field: "worker", Value: string(w.Name), Limit: "not excluded from placement; it is " + string(w.Exclusion),
 			Remedy: "plan again on other workers"})
 	}
+	return w.checkFit(g, m)
+}
+
+// checkFit returns a Conflict error if the worker does not have the resources of
+// member m of gang g.
+func (w *Worker) checkFit(g *Gang, m job.Member) error {
 	free := w.Free
 	if g.Claim != "" {
 		for _, h := range w.Allocations {
--- a/lib/placer/placer.go
+++ b/lib/placer/placer.go
@@ -128,13 +128,14 @@
 	}
 }
 
-// reserveGang reserves the resources of a gang in the state of the zone. When a
-// worker was removed from the zone record, or is declared with less than
-// before, the gang's member there can't be reserved. The other members are
+// reserveGang reserves the resources of a gang in the state of the zone, also on
+// workers that were excluded from placement after the decision. When a worker was
+// removed from the zone record, or is declared with less than before, the gang's
+// member there can't be reserved. The other members are
 // still reserved, so that their resources are not allocated twice. The caller
 // holds the lock, or p is new.
 func (p *Placer) reserveGang(g fleet.Gang) {
-	if p.zone.Reserve(g) == nil {
+	if p.zone.Restore(g) == nil {
 		return
 	}
 	view, reduced := p.zone.View(), g
@@ -155,7 +156,7 @@
 	if len(reduced.Members) == 0 {
 		return
 	}
-	if err := p.zone.Reserve(reduced); err != nil {
+	if err := p.zone.Restore(reduced); err != nil {
 		klog.ErrorS(err, "failed to reserve the resources of a running gang", "zone", p.config.Zone, "job", g.Job)
 	}
 }
--- a/lib/placer/placer_test.go
+++ b/lib/placer/placer_test.go
@@ -105,3 +105,43 @@
 	p.Release("gang")
 	is.Equal(len(planAndReserve(p, small)), 1)
 }
+
+// TestGangOnDrainingWorkerKeepsResources guards against double allocation when
+// a worker of a gang begins to drain before the gang is reserved: the gang is
+// restored by the next owner of the zone, or the drain begins after the decision
+// that places it.
+func TestGangOnDrainingWorkerKeepsResources(t *testing.T) {
+	tests := []struct {
+		name  string
+		place func(t *testing.T, gang job.Job) *placer.Placer
+	}{
+		{"next owner", func(t *testing.T, gang job.Job) *placer.Placer {
+			members := planAndReserve(newPlacer(t, newRecords(1, fullResources, fullResources)), gang)
+			next, err := placer.New(placer.Config{Zone: "bole", Epoch: 2, Clock: timer.NewManual(start),
+				Records: newRecords(1, fullResources, fullResources), Draining: []id.Worker{"w0"}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			next.Reserve(gang, members)
+			return next
+		}},
+		{"drain after the decision", func(t *testing.T, gang job.Job) *placer.Placer {
+			p := newPlacer(t, newRecords(1, fullResources, fullResources))
+			decisions := p.Plan(start, []job.Job{gang})
+			p.SetDraining("w0", true)
+			p.Reserve(gang, decisions[0].Members)
+			return p
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			p := tt.place(t, waitingJob("gang", 2))
+			is.Equal(len(planAndReserve(p, waitingJob("next", 1))), 0) // w1 is not free
+			p.SetDraining("w0", false)
+			is.Equal(len(planAndReserve(p, waitingJob("next", 1))), 0) // w0 is not free either
+			p.Release("gang")
+			is.Equal(len(planAndReserve(p, waitingJob("next", 2))), 2)
+		})
+	}
+}
