Give a restarted worker no starts before its list entry describes it

Cause: a report shows the new incarnation before the list does, and the planner kept the labels and the capacity of the previous entry for it.

Change: a worker gets starts only while its list entry describes the incarnation of its reports.

Measured: TestRestartedWorkerAwaitsItsEntry failed before and passes.

--- a/lib/planner/plan.go
+++ b/lib/planner/plan.go
@@ -85,7 +85,7 @@
 	p.candidates = slices.Grow(p.candidates[:0], len(p.workersByID)) // pointers to its elements stay valid
 	for _, w := range p.workersByID {
 		w.candidate = nil
-		if !w.listed || !w.reported || w.Draining || w.reservedForUpkeep || ps.now.Before(w.barredUntil) {
+		if !w.described() || !w.reported || w.Draining || w.reservedForUpkeep || ps.now.Before(w.barredUntil) {
 			continue
 		}
 		free := w.free()
--- a/lib/planner/restart_test.go
+++ b/lib/planner/restart_test.go
@@ -109,3 +109,21 @@
 	s.planner.Plan(s.now)
 	is.Equal(s.planner.TakeChanges().Orders[0].Run, task.RunNumber(2))
 }
+
+// TestRestartedWorkerAwaitsItsEntry guards against a start on a restarted worker by the
+// labels and the capacity of its previous incarnation: a report may show the restart before
+// the list does.
+func TestRestartedWorkerAwaitsItsEntry(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, 1)
+	restarted := s.restartedWorker("w-00")
+	restarted.Labels = []string{"b"}
+	s.planner.HandleReport(s.now, s.now, task.Report{Worker: restarted.ID, Incarnation: restarted.Incarnation})
+	is.Equal(len(submitAndPlan(s, singleStepJob(1, task.Step{Tasks: 1, Label: "a"}), 1)), 0)
+	is.Equal(len(submitAndPlan(s, singleStepJob(2, task.Step{Tasks: 1, Label: "b"}), 1)), 0)
+	s.planner.UpdateWorker(s.now, restarted)
+	s.planner.Plan(s.now)
+	orders := s.planner.TakeChanges().Orders
+	is.Equal(len(orders), 1)
+	is.Equal(orders[0].Task.Job, singleStepJob(2, task.Step{}).ID)
+}
--- a/lib/planner/worker.go
+++ b/lib/planner/worker.go
@@ -48,6 +48,9 @@
 	candidate   *candidate // in the present pass, or nil
 	used        unit.Resources
 	leaseExpiry time.Time // when the last granted lease has expired even on a slow clock
+	// listedIncarnation is the incarnation that the list entry describes. Labels and
+	// capacity of a later one are not known.
+	listedIncarnation task.Incarnation
 	// restoredLeaseExpiry is when the leases that earlier owners may have granted have
 	// expired even on a slow clock.
 	restoredLeaseExpiry time.Time
@@ -74,6 +77,10 @@
 	}
 }
 
+// described reports whether the list entry describes the present incarnation of the
+// worker. A report may show a new incarnation before its entry is there.
+func (w *worker) described() bool { return w.listed && w.listedIncarnation == w.Incarnation }
+
 func (w *worker) free() unit.Resources { return w.Capacity.Minus(w.used) }
 
 func (w *worker) findMember(name task.Name, run task.RunNumber) *member {
@@ -126,7 +133,7 @@
 			"incarnation", listed.Incarnation, "capacity", task.FormatResources(listed.Capacity)}})
 	}
 	draining := listed.Draining || w.Draining && w.Incarnation == listed.Incarnation
-	w.Worker, w.listed = listed, true
+	w.Worker, w.listed, w.listedIncarnation = listed, true, listed.Incarnation
 	w.Draining = draining
 	if draining {
 		p.drainWorker(now, w)
