Let a node that stops send the orders that it has released

Operators saw a gang that was stopped after two seconds and started again when the owner was stopped with SIGTERM as it ordered the gang to start.

Cause: the end of a session cancelled the call in progress and dropped the orders behind it, though the node still held its term. The members of a gang on one worker are started one after the other, so only some of them ran.

Change: a node that stops waits for at most 0.2 s until its links have sent their orders, before it ends the term. Any other end of a term cancels them as before. A start that waits for a report gives up at the end of the session, as no report can arrive any more.

--- a/lib/controller/controller.go
+++ b/lib/controller/controller.go
@@ -244,6 +244,8 @@
 	txnNumber         uint64
 	done              chan struct{}
 	wg                sync.WaitGroup
+	sending           context.Context // of calls that deliver orders; outlives the session's context in finishOrders
+	deliveries        sync.WaitGroup  // the goroutines that deliver orders
 }
 
 // canDecide reports whether the term is valid and the configuration is recent
@@ -291,10 +293,20 @@
 	ctrl.mu.Lock()
 	clear(ctrl.lastHeartbeat) // heartbeats received in an earlier term of this node do not count
 	ctrl.mu.Unlock()
+	ending := ctx
 	ctx, cancel := context.WithCancel(ctx)
-	defer s.wg.Wait()
-	defer cancel()
-	defer close(s.done)
+	var stopSending context.CancelFunc
+	s.sending, stopSending = context.WithCancel(context.WithoutCancel(ctx))
+	defer func() {
+		close(s.done)
+		if errors.Is(context.Cause(ending), context.Canceled) { // the node stops; any other cause ends the term
+			s.finishOrders()
+		}
+		stopSending()
+		cancel()
+		s.deliveries.Wait()
+		s.wg.Wait()
+	}()
 	if err := recovered("load", func() error { return s.load(ctx) }); err != nil {
 		term.End(err)
 		return err
@@ -314,6 +326,32 @@
 	return err
 }
 
+// finishOrdersTimeout bounds the wait for the answers to the last orders of a node that
+// stops. Workers answer within milliseconds.
+const finishOrdersTimeout = 200 * time.Millisecond
+
+// finishOrders sends the orders that have been released, and waits for their answers. If a
+// node that stops cancelled them, the next owner would find gangs of which only some members
+// were started, and would have to stop them.
+func (s *session) finishOrders() {
+	s.links.Range(func(_ id.Worker, l *link) bool {
+		l.orders.Close()
+		return true
+	})
+	finished := make(chan struct{})
+	s.wg.Go(func() {
+		s.deliveries.Wait()
+		close(finished)
+	})
+	timeout := s.controller.config.Timer.After(finishOrdersTimeout)
+	defer timeout.Stop()
+	select {
+	case <-finished:
+	case <-timeout.C:
+		klog.InfoS("orders not answered; the next owner asks their workers", "event", "term", "fence", s.term.Fence)
+	}
+}
+
 // recovered calls f and turns a panic into an error. A fault in the decisions on some
 // input then ends the term only; the process goes on forwarding calls to the next owner.
 func recovered(part string, f func() error) (err error) {
--- a/lib/controller/fake_test.go
+++ b/lib/controller/fake_test.go
@@ -290,6 +290,9 @@
 	if o.Kind == planner.Start && w.beforeStart != nil {
 		w.beforeStart(o)
 	}
+	if err := ctx.Err(); err != nil {
+		return "", err
+	}
 	if err := w.awaitTimeout(ctx, t.Worker); err != nil {
 		return "", err
 	}
--- a/lib/controller/link.go
+++ b/lib/controller/link.go
@@ -123,15 +123,20 @@
 		health: dependency.New("worker "+string(w.ID), s.controller.config.Timer), awaitingReport: true, reportArrived: make(chan struct{}),
 		fence: s.term.LastFence(), abortPoll: func() {}}
 	l.target, l.draining, l.lateStartUntil = targetOf(w), w.Draining, s.planner.LateStartUntil(w.ID)
-	ctx, l.stop = context.WithCancel(ctx)
-	s.wg.Go(func() { l.poll(ctx) })
-	s.wg.Go(func() {
+	polling, stopPolling := context.WithCancel(ctx)
+	sending, stopSending := context.WithCancel(s.sending)
+	l.stop = func() {
+		stopPolling()
+		stopSending()
+	}
+	s.wg.Go(func() { l.poll(polling) })
+	s.deliveries.Go(func() {
 		for {
-			orders, ok := l.orders.TakeBatch(ctx, 1)
+			orders, ok := l.orders.TakeBatch(sending, 1)
 			if !ok {
 				return
 			}
-			l.deliver(ctx, orders[0])
+			l.deliver(sending, orders[0])
 		}
 	})
 	return l
@@ -203,8 +208,9 @@
 	l.signal()
 }
 
-// awaitReport waits until a required report has arrived, or has been required for longer
-// than orderTimeout. All queued starts share this time.
+// awaitReport waits until a required report has arrived, has been required for longer
+// than orderTimeout, or can't arrive as the session has ended. All queued starts share this
+// time.
 func (l *link) awaitReport(ctx context.Context) {
 	clock := l.session.controller.config.Timer
 	l.mu.Lock()
@@ -219,6 +225,7 @@
 	select {
 	case <-arrived:
 	case <-after.C:
+	case <-l.session.done:
 	case <-ctx.Done():
 	}
 }
--- a/lib/controller/link_test.go
+++ b/lib/controller/link_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -304,3 +305,26 @@
 		is.Equal(o.Worker, other[0].ID)
 	}
 }
+
+// TestStoppingOwnerFinishesOrders guards against an owner that stops between the starts of a
+// gang: the next owner would have to stop the members that run, and start the gang again.
+func TestStoppingOwnerFinishesOrders(t *testing.T) {
+	is := is.New(t)
+	workers := newFakeWorkers()
+	started := make(chan struct{})
+	var once sync.Once
+	var c *testController
+	workers.beforeStart = func(planner.Order) {
+		once.Do(func() {
+			close(started)
+			workers.await(t, "the end of the session", func() bool { return !c.Heartbeat("") })
+		})
+	}
+	c = serve(t, newFakeStore(), workers)
+	reply := c.Handle(t.Context(), controller.Request{Verb: controller.Submit, Host: testHost, Path: "/q/" + jobA, Key: testKey,
+		Job: &task.Job{Spec: "s", Steps: []task.Step{{Tasks: 2, Gang: true, Demand: unit.Resources{Accelerators: 4}, Estimate: time.Second}}}})
+	is.Equal(reply.Outcome, controller.OK)
+	<-started
+	c.election.Close()
+	is.Equal(len(workers.started), 2)
+}
