Count tasks on silent workers as unavailable

Cause: a run on a silent worker counts as running until its lease has expired, and its availability was taken from the last report, however old.

Change: a task is available only while its worker has reported within 3 s. The check only holds up stops that can wait; when runs start again does not change.

Measured: TestTaskOnSilentWorkerIsUnavailable failed before and passes.

--- a/lib/planner/claim.go
+++ b/lib/planner/claim.go
@@ -156,7 +156,7 @@
 	case ps.guaranteed[v.job]:
 		return false
 	case v.step().Service:
-		return ps.guaranteed[g.job] && ps.planner.disruptionAllowed(v)
+		return ps.guaranteed[g.job] && ps.planner.disruptionAllowed(ps.now, v)
 	case ps.guaranteed[g.job] || v.job.queue.Priority > g.job.queue.Priority:
 		return true
 	}
@@ -165,28 +165,33 @@
 
 // disruptionAllowed reports whether one more task of a group's step may become
 // unavailable. Tasks that are already stopping count as unavailable.
-func (p *Planner) disruptionAllowed(g *group) bool {
+func (p *Planner) disruptionAllowed(now time.Time, g *group) bool {
 	s := g.step()
 	if s.MaxUnavailable == 0 {
 		return true
 	}
 	unavailable := 0
 	for _, other := range g.occurrence.steps[g.stepIndex] {
-		if other != g && !other.isAvailable() {
+		if other != g && !other.isAvailable(now) {
 			unavailable++
 		}
 	}
 	return unavailable < s.MaxUnavailable
 }
 
+// availabilityTimeout is the age up to which a report shows that the tasks of its worker
+// are available. Workers that run tasks report every two seconds.
+const availabilityTimeout = 3 * time.Second
+
 // isAvailable reports whether all members of a group run and have completed their
-// startup, which a service task reports as 100 percent.
-func (g *group) isAvailable() bool {
+// startup, which a service task reports as 100 percent. A member on a silent worker is
+// not available: it counts as running until its lease has expired, but may be lost.
+func (g *group) isAvailable(now time.Time) bool {
 	if len(g.members) < g.size || g.stopping {
 		return false
 	}
 	for _, m := range g.members {
-		if m.percent < 100 {
+		if m.percent < 100 || now.Sub(m.worker.reportedAt) > availabilityTimeout {
 			return false
 		}
 	}
--- a/lib/planner/claim_test.go
+++ b/lib/planner/claim_test.go
@@ -171,3 +171,42 @@
 	status, _ := s.planner.Status(service.ID)
 	is.Equal(status.State, task.Running)
 }
+
+// TestTaskOnSilentWorkerIsUnavailable guards against a stop that makes a second task of a
+// service step unavailable, while the first one may be lost with a worker that is silent.
+func TestTaskOnSilentWorkerIsUnavailable(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		silent time.Duration
+		stops  int
+	}{
+		{"between two reports", 2 * time.Second, 1},
+		{"without a report", 4 * time.Second, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newGuaranteeSim(t, 2, 16)
+			reporting := s.workers["w-01"].Worker
+			reporting.Labels = []string{"b"}
+			s.planner.UpdateWorker(s.now, reporting)
+			report := func(o planner.Order) {
+				s.planner.HandleReport(s.now, s.now, task.Report{Worker: o.Worker, Incarnation: 1,
+					Active: []task.ActiveRun{{Task: o.Task, Run: o.Run, Percent: 100}}})
+			}
+			starts := submitAndPlan(s, singleStepJob(1, task.Step{Tasks: 2, MaxPerWorker: 1, Service: true, MaxUnavailable: 1,
+				Demand: unit.Resources{Accelerators: 4, Cores: unit.Core}}), 1)
+			is.Equal(len(starts), 2)
+			report(starts[0])
+			report(starts[1])
+			s.now = s.now.Add(test.silent)
+			for _, o := range starts {
+				if o.Worker == reporting.ID {
+					report(o)
+				}
+			}
+			guaranteed := singleStepJob(2, task.Step{Tasks: 1, Label: "b", Demand: unit.Resources{Accelerators: 8, Cores: unit.Core}})
+			guaranteed.Account = "a"
+			is.Equal(countOrders(submitAndPlan(s, guaranteed, 0), planner.Stop), test.stops)
+		})
+	}
+}
--- a/lib/planner/wave.go
+++ b/lib/planner/wave.go
@@ -362,7 +362,7 @@
 	}
 	for _, m := range slices.Clone(w.members) {
 		s := m.group.step()
-		if s.Gang || m.stopRequested || s.Service && !p.disruptionAllowed(m.group) || !s.Service && !s.Checkpoints {
+		if s.Gang || m.stopRequested || s.Service && !p.disruptionAllowed(now, m.group) || !s.Service && !s.Checkpoints {
 			continue
 		}
 		p.stopGroup(now, m.group, "the VM is drained for its upkeep")
--- a/lib/planner/worker.go
+++ b/lib/planner/worker.go
@@ -55,6 +55,7 @@
 	// expired even on a slow clock.
 	restoredLeaseExpiry time.Time
 	reported            bool         // a report has arrived in this term, and since the last start that did not reach it
+	reportedAt          time.Time    // when the last report arrived
 	barredUntil         time.Time    // no starts before this time
 	failedJobs          []id.Job     // jobs that failed here since the last success
 	reservedForUpkeep   bool         // its VM is being drained or has its upkeep
@@ -202,7 +203,7 @@
 		return
 	}
 	p.setIncarnation(w, report.Incarnation)
-	w.reported = true
+	w.reported, w.reportedAt = true, now
 	// From the first answer on, the worker accepts no extension by an earlier owner.
 	if expiry := p.config.LeaseExpiry(now); w.restoredLeaseExpiry.After(expiry) {
 		w.restoredLeaseExpiry = expiry
