Move the delivery of orders into a file of its own

The delivery moves to deliver.go without a change, with the wait for the last orders of a node that stops.

Measured: go test of lib/controller passes.

--- a/lib/controller/controller.go
+++ b/lib/controller/controller.go
@@ -293,13 +293,13 @@
 	ctrl.mu.Lock()
 	clear(ctrl.lastHeartbeat) // heartbeats received in an earlier term of this node do not count
 	ctrl.mu.Unlock()
-	ending := ctx
+	termCtx := ctx
 	ctx, cancel := context.WithCancel(ctx)
 	var stopSending context.CancelFunc
 	s.sending, stopSending = context.WithCancel(context.WithoutCancel(ctx))
 	defer func() {
 		close(s.done)
-		if errors.Is(context.Cause(ending), context.Canceled) { // the node stops; any other cause ends the term
+		if errors.Is(context.Cause(termCtx), context.Canceled) { // the node stops; an end of the term has another cause
 			s.finishOrders()
 		}
 		stopSending()
@@ -326,32 +326,6 @@
 	return err
 }
 
-// finishOrdersTimeout bounds the wait for the answers to the last orders of a node that
-// stops. Workers answer within milliseconds.
-const finishOrdersTimeout = 200 * time.Millisecond
-
-// finishOrders sends the orders that have been released, and waits for their answers. If a
-// node that stops cancelled them, the next owner would find gangs of which only some members
-// were started, and would have to stop them.
-func (s *session) finishOrders() {
-	s.links.Range(func(_ id.Worker, l *link) bool {
-		l.orders.Close()
-		return true
-	})
-	finished := make(chan struct{})
-	s.wg.Go(func() {
-		s.deliveries.Wait()
-		close(finished)
-	})
-	timeout := s.controller.config.Timer.After(finishOrdersTimeout)
-	defer timeout.Stop()
-	select {
-	case <-finished:
-	case <-timeout.C:
-		klog.InfoS("orders not answered; the next owner asks their workers", "event", "term", "fence", s.term.Fence)
-	}
-}
-
 // recovered calls f and turns a panic into an error. A fault in the decisions on some
 // input then ends the term only; the process goes on forwarding calls to the next owner.
 func recovered(part string, f func() error) (err error) {
--- a/lib/controller/link.go
+++ b/lib/controller/link.go
@@ -24,10 +24,6 @@
 	// pollTimeoutMargin is added to the wait of a poll to get its timeout. A
 	// worker answers within milliseconds.
 	pollTimeoutMargin = 700 * time.Millisecond
-	// orderTimeout and orderAttempts bound the delivery of one order. Retries are
-	// safe because a worker executes each run once.
-	orderTimeout  = 400 * time.Millisecond
-	orderAttempts = 3
 	// ackDelay postpones the acknowledgement of the last ended runs on a worker,
 	// so that it can be sent with the poll for the worker's next start.
 	ackDelay = time.Second
@@ -36,7 +32,6 @@
 	// the worker has restarted, nothing but the next poll keeps it from that.
 	pollRetryPause      = 400 * time.Millisecond
 	lateStartRetryPause = 100 * time.Millisecond
-	maxQueuedOrders     = 4096
 	// unlistedLinkRetention is how long a link is kept after its worker has left
 	// the list. Entries that expired during a store outage return within seconds.
 	unlistedLinkRetention = 30 * time.Second
@@ -130,15 +125,7 @@
 		stopSending()
 	}
 	s.wg.Go(func() { l.poll(polling) })
-	s.deliveries.Go(func() {
-		for {
-			orders, ok := l.orders.TakeBatch(sending, 1)
-			if !ok {
-				return
-			}
-			l.deliver(sending, orders[0])
-		}
-	})
+	s.deliveries.Go(func() { l.deliverOrders(sending) })
 	return l
 }
 
@@ -208,28 +195,6 @@
 	l.signal()
 }
 
-// awaitReport waits until a required report has arrived, has been required for longer
-// than orderTimeout, or can't arrive as the session has ended. All queued starts share this
-// time.
-func (l *link) awaitReport(ctx context.Context) {
-	clock := l.session.controller.config.Timer
-	l.mu.Lock()
-	awaiting, arrived := l.awaitingReport, l.reportArrived
-	wait := orderTimeout - clock.Now().Sub(l.requiredAt)
-	l.mu.Unlock()
-	if !awaiting || wait <= 0 {
-		return
-	}
-	after := clock.After(wait)
-	defer after.Stop()
-	select {
-	case <-arrived:
-	case <-after.C:
-	case <-l.session.done:
-	case <-ctx.Done():
-	}
-}
-
 func (l *link) signal() {
 	select {
 	case l.wake <- struct{}{}:
@@ -237,18 +202,6 @@
 	}
 }
 
-// enqueue queues an order. Orders are delivered one at a time, in this order.
-func (l *link) enqueue(o planner.Order) {
-	if err := l.orders.Put(o); err != nil {
-		klog.InfoS("order dropped; the order queue did not accept it", "event", "order", "worker", l.name, "task", o.Task.String(), "cause", err)
-		_ = l.session.events.Put(&orderResultEvent{order: o, result: planner.NotSent}) // fails only if the session has ended or the queue is full
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.busy = true
-	l.signal()
-}
-
 // confirmReport lets the link poll again after a cycle has stored the contents
 // of a report. Only the ended runs of that report are acknowledged, because a
 // later report may still wait for the next cycle.
@@ -435,38 +388,6 @@
 	return false
 }
 
-// holdReports discards reports until a start that had no answer is delivered or
-// given up: if its run ended and the worker restarted, the next attempt would start a
-// run that the planner has ended.
-func (l *link) holdReports(o planner.Order) {
-	if o.Kind != planner.Start {
-		return
-	}
-	l.mu.Lock()
-	l.retrying = true
-	l.lateStartUntil = l.session.controller.config.Timer.Now().Add(planner.MaxCallDelay)
-	l.mu.Unlock()
-	// No report can end the run from here on, so no cycle stores its end without this event.
-	if err := l.session.events.Put(unansweredStartEvent{o}); err != nil {
-		klog.InfoS("unanswered start not stored; a later owner does not poll the worker for it", "event", "lateStart", "worker", l.name,
-			"task", o.Task.String(), "run", o.Run, "cause", err)
-	}
-}
-
-// releaseReports requests a report under a new fence if reports were held, and a report if
-// the order did not reach the worker.
-func (l *link) releaseReports(result planner.OrderResult) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.retrying {
-		l.retrying = false
-		l.raiseFence("a start was not answered")
-	}
-	if result == planner.Undelivered {
-		l.requireReport()
-	}
-}
-
 type reportEvent struct {
 	link   *link
 	sent   time.Time
@@ -486,76 +407,3 @@
 	}
 	return highest
 }
-
-// unansweredStartEvent is an attempt to deliver a start that had no answer.
-type unansweredStartEvent struct{ order planner.Order }
-
-func (e unansweredStartEvent) apply(s *session, now time.Time, _ *deferredWork) {
-	s.planner.RecordUnansweredStart(now, e.order)
-}
-
-type orderResultEvent struct {
-	order  planner.Order
-	result planner.OrderResult
-}
-
-func (e *orderResultEvent) apply(s *session, now time.Time, _ *deferredWork) {
-	s.planner.HandleOrderResult(now, e.order, e.result)
-}
-
-// deliver sends one order and retries it while no answer arrives.
-func (l *link) deliver(ctx context.Context, o planner.Order) {
-	if o.Kind == planner.Start {
-		l.awaitReport(ctx)
-	}
-	l.mu.Lock()
-	l.delivering, l.deliveredEnd = o, false
-	l.mu.Unlock()
-	result := planner.NotSent
-	for attempt := range orderAttempts {
-		now := l.session.controller.config.Timer.Now()
-		l.mu.Lock()
-		target, fence, deadline, ended := l.target, l.fence, l.leaseDeadline(now), l.deliveredEnd
-		// It began to drain while the order waited, or has not answered since an earlier start.
-		unfit := o.Kind == planner.Start && (l.draining || l.awaitingReport)
-		l.mu.Unlock()
-		if ended {
-			result = planner.Accepted // a worker that has restarted since would carry out the order again
-			break
-		}
-		if unfit {
-			break
-		}
-		if !l.session.term.Valid() || now.After(o.SendDeadline()) || target.Incarnation != o.Incarnation || deadline == 0 {
-			break
-		}
-		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-		r, err := l.session.controller.config.Workers.SendOrder(callCtx, target, o, fence, deadline)
-		cancel()
-		if o.Kind == planner.Start && (err != nil || r != planner.Undelivered) {
-			l.session.recordLeaseGrant(l.name, now) // before the result, from which on the planner relies on it
-		}
-		if err == nil {
-			// A rejection does not show whether an earlier, unanswered attempt was
-			// executed.
-			if result != planner.Unanswered || r == planner.Accepted {
-				result = r
-			}
-			break
-		}
-		if ctx.Err() != nil {
-			return
-		}
-		result = planner.Unanswered
-		l.holdReports(o)
-		klog.InfoS("order not answered", "event", "order", "kind", o.Kind, "task", o.Task.String(), "run", o.Run,
-			"worker", o.Worker, "attempt", attempt+1, "cause", err)
-	}
-	if result != planner.Accepted {
-		klog.InfoS("order not accepted", "event", "order", "kind", o.Kind, "task", o.Task.String(), "run", o.Run,
-			"worker", o.Worker, "answer", result)
-	}
-	_ = l.session.events.Put(&orderResultEvent{order: o, result: result}) // fails only if the session has ended or the queue is full
-	// A report that shows that the worker answers again must follow the result.
-	l.releaseReports(result)
-}
