Poll workers with delayed starts while no node owns the scheduler

Callers could see a task run twice at the same time after the owner was killed: a start had no answer and was given up, and the worker restarted and carried it out before the next owner led.

Cause: after a start without an answer the owner polls the worker, so that a new incarnation sees its fence first. An owner that is killed keeps its lease for 1.5 s more, in which nobody polls.

Change: the record of such a worker holds the fence of the start. Nodes that are witnesses of an owner that does not answer read the records and poll the workers with the next fence until an owner serves calls, two of them each worker. The polls extend no lease and acknowledge no ends, and their fence is not above that of any later call of an owner that is still alive.

--- a/bronzewinchd/platform.go
+++ b/bronzewinchd/platform.go
@@ -13,6 +13,7 @@
 	"bronzewinch.dev/lib/controller"
 	"bronzewinch.dev/lib/delegate"
 	"bronzewinch.dev/lib/election"
+	"bronzewinch.dev/lib/latestart"
 	"bronzewinch.dev/lib/logline"
 	"bronzewinch.dev/lib/peer"
 	"bronzewinch.dev/lib/relay"
@@ -29,14 +30,15 @@
 type platformNode struct {
 	dig.In
 
-	Settings platform.Settings
-	Election *election.Election
-	Relay    *relay.Relay
-	Server   *peer.Server
-	Delegate *delegate.Server
-	Pool     *peer.Pool
-	Workers  *platform.Workers
-	Metrics  *metrics.Set
+	Settings       platform.Settings
+	Election       *election.Election
+	Relay          *relay.Relay
+	Server         *peer.Server
+	Delegate       *delegate.Server
+	LateStartGuard *latestart.Guard
+	Pool           *peer.Pool
+	Workers        *platform.Workers
+	Metrics        *metrics.Set
 }
 
 // runPlatform runs a node on the cooperative platform until the process receives
@@ -71,7 +73,7 @@
 		newDelegateServer,
 		func(set *metrics.Set) *peer.Pool { return peer.NewPool(peer.PoolConfig{Metrics: set}) },
 		func() *peer.Server { return peer.NewServer(peer.ServerConfig{}) },
-		newController, newElection, newRelay,
+		newController, newElection, newLateStartGuard, newRelay,
 	} {
 		if err := container.Provide(f); err != nil {
 			return err
@@ -138,9 +140,16 @@
 		Cores: s.Cores})
 }
 
+func newLateStartGuard(s platform.Settings, store *platform.Store, workers *platform.Workers, clock timer.Service) *latestart.Guard {
+	return latestart.New(latestart.Config{Address: s.PeerAddress, Poller: workers, Timer: clock, Records: struct {
+		controller.LateStartReader
+		election.WitnessReader
+	}{controller.LateStartReader{Store: store}, election.WitnessReader{Store: store}}})
+}
+
 func newRelay(s platform.Settings, elect *election.Election, ctrl *controller.Controller, pool *peer.Pool, server *peer.Server,
-	delegates *delegate.Table, clock timer.Service) *relay.Relay {
-	return relay.New(relay.Config{Node: s.Node, Address: s.PeerAddress, Zone: s.Zone, Cores: s.Cores, Delegates: delegates, Seeds: s.Seeds, Election: elect, Controller: ctrl, Pool: pool,
+	delegates *delegate.Table, guard *latestart.Guard, clock timer.Service) *relay.Relay {
+	return relay.New(relay.Config{Node: s.Node, Address: s.PeerAddress, Zone: s.Zone, Cores: s.Cores, Delegates: delegates, OwnerObserver: guard, Seeds: s.Seeds, Election: elect, Controller: ctrl, Pool: pool,
 		Server: server, Timer: clock})
 }
 
@@ -224,6 +233,7 @@
 	_ = timer.Sleep(shutdownCtx, timer.NewSystem(), drainDelay)
 	frontend.Close(shutdownCtx)
 	n.Relay.Close()
+	n.LateStartGuard.Close()
 	n.Server.Close(shutdownCtx)
 	n.Pool.Close()
 	n.Workers.Close()
--- a/lib/controller/deliver.go
+++ b/lib/controller/deliver.go
@@ -6,6 +6,7 @@
 
 	"bronzewinch.dev/lib/id"
 	"bronzewinch.dev/lib/planner"
+	"bronzewinch.dev/lib/task"
 
 	"k8s.io/klog/v2"
 )
@@ -110,7 +111,7 @@
 			return
 		}
 		result = planner.Unanswered
-		l.holdReports(o)
+		l.holdReports(o, fence)
 		klog.InfoS("order not answered", "event", "order", "kind", o.Kind, "task", o.Task.String(), "run", o.Run,
 			"worker", o.Worker, "attempt", attempt+1, "cause", err)
 	}
@@ -126,7 +127,7 @@
 // holdReports discards reports until a start that had no answer is delivered or
 // given up: if its run ended and the worker restarted, the next attempt would start a
 // run that the planner has ended.
-func (l *link) holdReports(o planner.Order) {
+func (l *link) holdReports(o planner.Order, fence task.Fence) {
 	if o.Kind != planner.Start {
 		return
 	}
@@ -135,7 +136,7 @@
 	l.lateStartUntil = l.session.controller.config.Timer.Now().Add(planner.MaxCallDelay)
 	l.mu.Unlock()
 	// No report can end the run from here on, so no cycle stores its end without this event.
-	if err := l.session.events.Put(unansweredStartEvent{o}); err != nil {
+	if err := l.session.events.Put(unansweredStartEvent{o, fence}); err != nil {
 		klog.InfoS("unanswered start not stored; a later owner does not poll the worker for it", "event", "lateStart", "worker", l.name,
 			"task", o.Task.String(), "run", o.Run, "cause", err)
 	}
@@ -156,10 +157,13 @@
 }
 
 // unansweredStartEvent is an attempt to deliver a start that had no answer.
-type unansweredStartEvent struct{ order planner.Order }
+type unansweredStartEvent struct {
+	order planner.Order
+	fence task.Fence
+}
 
 func (e unansweredStartEvent) apply(s *session, now time.Time, _ *deferredWork) {
-	s.planner.RecordUnansweredStart(now, e.order)
+	s.planner.RecordUnansweredStart(now, e.order, e.fence)
 }
 
 type orderResultEvent struct {
--- a/lib/controller/read.go
+++ b/lib/controller/read.go
@@ -7,6 +7,7 @@
 	"bronzewinch.dev/lib/election"
 	"bronzewinch.dev/lib/kv"
 	"bronzewinch.dev/lib/problem"
+	"bronzewinch.dev/lib/task"
 	"bronzewinch.dev/lib/timer"
 
 	"github.com/cockroachdb/errors"
@@ -74,12 +75,20 @@
 // readAll reads all records under a prefix. It logs and skips records that
 // can't be decoded.
 func readAll[T any](ctx context.Context, s *session, prefix string) ([]T, error) {
+	return readPages[T](prefix, func(after string) ([]kv.Item, error) {
+		return readStored(ctx, s, func(ctx context.Context) ([]kv.Item, error) {
+			return s.controller.config.Store.List(ctx, prefix, after, pageSize)
+		})
+	})
+}
+
+// readPages reads the pages that follow each other until one is empty, and decodes their
+// records.
+func readPages[T any](prefix string, read func(after string) ([]kv.Item, error)) ([]T, error) {
 	var all []T
 	after := ""
 	for {
-		items, err := readStored(ctx, s, func(ctx context.Context) ([]kv.Item, error) {
-			return s.controller.config.Store.List(ctx, prefix, after, pageSize)
-		})
+		items, err := read(after)
 		if err != nil {
 			return nil, errors.Wrapf(err, "read %s", prefix)
 		}
@@ -97,3 +106,17 @@
 		}
 	}
 }
+
+// LateStartReader reads the records of workers that may carry out a start late.
+type LateStartReader struct {
+	Store interface {
+		List(ctx context.Context, prefix, after string, limit int) ([]kv.Item, error)
+	}
+}
+
+// ReadLateStarts returns the records in the order of their workers.
+func (r LateStartReader) ReadLateStarts(ctx context.Context) ([]task.LateStart, error) {
+	return readPages[task.LateStart](lateStartPrefix, func(after string) ([]kv.Item, error) {
+		return r.Store.List(ctx, lateStartPrefix, after, pageSize)
+	})
+}
--- a/lib/election/terms.go
+++ b/lib/election/terms.go
@@ -161,8 +161,21 @@
 	return fence, e.Idle()
 }
 
+// WitnessReader reads the witnesses of the last owner.
+type WitnessReader struct{ Store getter }
+
+// ReadWitnesses returns the addresses of the witnesses.
+func (r WitnessReader) ReadWitnesses(ctx context.Context) (witness.Set, error) {
+	record, _, err := readRecord(ctx, r.Store, TermKey, DecodeTermRecord)
+	return record.Witnesses, err
+}
+
+type getter interface {
+	Get(ctx context.Context, key string) (kv.Item, error)
+}
+
 // readRecord reads the record of a key and its version. Both are zero if there is none.
-func readRecord[T any](ctx context.Context, store Store, key string, decode func([]byte) (T, error)) (record T, version kv.Version, err error) {
+func readRecord[T any](ctx context.Context, store getter, key string, decode func([]byte) (T, error)) (record T, version kv.Version, err error) {
 	item, err := store.Get(ctx, key)
 	switch {
 	case problem.Is(err, problem.NotFound):
--- a/lib/planner/latestart_test.go
+++ b/lib/planner/latestart_test.go
@@ -15,7 +15,7 @@
 // still carry out a start that an earlier one has given up.
 func TestLateStartIsStored(t *testing.T) {
 	unanswered := func(s *sim, start planner.Order) {
-		s.planner.RecordUnansweredStart(s.now, start)
+		s.planner.RecordUnansweredStart(s.now, start, 7)
 		s.planner.HandleOrderResult(s.now, start, planner.Unanswered)
 	}
 	for _, test := range []struct {
@@ -25,7 +25,7 @@
 	}{
 		{"no answer", unanswered, 1},
 		{"no answer twice", func(s *sim, start planner.Order) {
-			s.planner.RecordUnansweredStart(s.now, start)
+			s.planner.RecordUnansweredStart(s.now, start, 7)
 			unanswered(s, start)
 		}, 1},
 		{"rejected", func(s *sim, start planner.Order) { s.planner.HandleOrderResult(s.now, start, planner.Rejected) }, 0},
@@ -42,7 +42,7 @@
 			c := s.planner.TakeChanges()
 			is.Equal(len(c.LateStarts), test.stored)
 			if test.stored > 0 {
-				is.Equal(c.LateStarts[0], task.LateStart{Worker: start.Worker, Incarnation: 1, Rack: "r-0"})
+				is.Equal(c.LateStarts[0], task.LateStart{Worker: start.Worker, Incarnation: 1, Rack: "r-0", Fence: 7})
 			}
 			s.now = s.now.Add(planner.MaxCallDelay)
 			s.planner.Tick(s.now)
@@ -92,3 +92,19 @@
 		})
 	}
 }
+
+// TestLateStartRecordHasHighestFence guards against a record whose fence is not above that
+// of each start that the worker may carry out late: a poll with it would not rule them out.
+func TestLateStartRecordHasHighestFence(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, 1)
+	start := submitAndPlan(s, singleStepJob(1, task.Step{Tasks: 1}), 1)[0]
+	for _, test := range []struct{ fence, stored task.Fence }{{7, 7}, {6, 0}, {7, 0}, {9, 9}} {
+		s.planner.RecordUnansweredStart(s.now, start, test.fence)
+		var stored task.Fence
+		for _, l := range s.planner.TakeChanges().LateStarts {
+			stored = l.Fence
+		}
+		is.Equal(stored, test.stored)
+	}
+}
--- a/lib/planner/worker.go
+++ b/lib/planner/worker.go
@@ -251,7 +251,7 @@
 // that the worker carried out its start, it may still do so.
 func (p *Planner) loseMember(now time.Time, m *member, reason string) {
 	if until := m.orderedAt.Add(MaxCallDelay); !m.running && now.Before(until) {
-		p.recordLateStart(m.worker, m.taskName(), m.group.run, until)
+		p.recordLateStart(m.worker, m.taskName(), m.group.run, 0, until)
 	}
 	p.endMember(now, m, task.EndLost, "", reason)
 }
--- a/lib/relay/relay.go
+++ b/lib/relay/relay.go
@@ -126,6 +126,12 @@
 	Remove(address string)
 }
 
+// OwnerObserver is told when the owner stops answering, and when one serves calls.
+type OwnerObserver interface {
+	OwnerLost()
+	OwnerServes()
+}
+
 // Config configures a Relay.
 type Config struct {
 	Node    id.Node
@@ -135,6 +141,8 @@
 	Cores float64
 	// Delegates may be nil if the owner makes all calls to workers itself.
 	Delegates Delegates
+	// OwnerObserver may be nil.
+	OwnerObserver OwnerObserver
 	// Seeds are addresses of nodes that may know the owner.
 	Seeds      []string
 	Election   Election
@@ -427,6 +435,9 @@
 			r.ownerHealth.Observe(errors.Newf("owner %s with fence %d does not answer", owner.Node, owner.Fence))
 		}
 		r.markUnreachable(owner)
+		if r.config.OwnerObserver != nil && ctx.Err() == nil {
+			r.config.OwnerObserver.OwnerLost()
+		}
 		r.config.Election.Refresh()
 	}
 	r.queryOthers(ctx, owner)
@@ -485,6 +496,9 @@
 }
 
 func (r *Relay) markServed() {
+	if r.config.OwnerObserver != nil {
+		r.config.OwnerObserver.OwnerServes()
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lastServed = r.config.Timer.Now()
--- a/lib/task/record.go
+++ b/lib/task/record.go
@@ -51,4 +51,6 @@
 	Incarnation Incarnation `cbor:"b,omitempty"`
 	Zone        id.Zone     `cbor:"z,omitempty"`
 	Rack        id.Rack     `cbor:"r,omitempty"`
+	// Fence is the fence of the start, or zero if it is not known.
+	Fence Fence `cbor:"f,omitempty"`
 }
--- a/lib/task/stored_test.go
+++ b/lib/task/stored_test.go
@@ -43,6 +43,8 @@
 			"6174656772756e6e696e676b6f6363757272656e63657381a3646f766572f56667726f75707381a5616361636164f561" +
 			"6603617081a361620561690461776177617202666e756d62657201"},
 		{"late start", &task.LateStart{Worker: "w", Address: "a", Incarnation: 5, Zone: "z", Rack: "r"}, "a5616161616162056172617261776177617a617a"},
+		{"late start with a fence", &task.LateStart{Worker: "w", Address: "a", Incarnation: 5, Zone: "z", Rack: "r", Fence: 6},
+			"a661616161616205616606617261726177617761" + "7a617a"},
 		{"wave progress", &task.WaveProgress{Number: 1, FirstSeen: at, Ordered: []id.VM{"v"}, Finished: []id.VM{"u"}, Completed: true}, "a5646f766572816175647365656e781e323032362d31322d30355430313a30323a30332e3030303030303030345a666e" +
 			"756d62657201676f72646572656481617669636f6d706c65746564f5"},
 	} {
--- a/standin/cooperative/late_call_test.go
+++ b/standin/cooperative/late_call_test.go
@@ -82,6 +82,22 @@
 	}
 }
 
+// TestGivenUpStartWithoutOwner guards against a start that a worker carries out after it has
+// restarted while no node owns the scheduler: the owner was killed, and its lease runs on.
+func TestGivenUpStartWithoutOwner(t *testing.T) {
+	t.Parallel()
+	d, worker, other := newLateDeployment(t, 3, 600*time.Millisecond)
+	submitLateJob(t, d, worker, 9*second, 12*second)
+	sent := time.Now()
+	awaitWorker(t, d, lateJob, other, 7*second)
+	time.Sleep(time.Until(sent.Add(7700 * time.Millisecond)))
+	d.Owner().Signal(syscall.SIGKILL)
+	time.Sleep(time.Until(sent.Add(8200 * time.Millisecond)))
+	d.Cloud.RestartWorker(worker, cooperative.Restart{Downtime: 50 * time.Millisecond, RegisterDelay: 9 * second})
+	time.Sleep(3 * second)
+	checkInvariants(t, d)
+}
+
 // TestGivenUpStartAfterHiddenRestart guards against a start that a worker carries out after a restart behind a partition.
 func TestGivenUpStartAfterHiddenRestart(t *testing.T) {
 	t.Parallel()
