--- a/lib/latestart/latestart.go
+++ b/lib/latestart/latestart.go
@@ -31,9 +31,9 @@
 	// within milliseconds.
 	pollTimeoutMargin = 300 * time.Millisecond
 	pollPause         = 100 * time.Millisecond
-	// pollers is the number of witnesses that poll each worker, so that one may be lost
-	// together with the owner.
-	pollers = 2
+	// pollersPerWorker is the number of witnesses that poll each worker, so that one may
+	// be lost together with the owner.
+	pollersPerWorker = 2
 )
 
 // Records reads what the last owner has stored.
@@ -81,7 +81,8 @@
 	if g.endOutage != nil || g.ctx.Err() != nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(g.ctx, planner.MaxCallDelay) // the last start was sent before
+	// The owner has sent its last start before, so none is carried out after this time.
+	ctx, cancel := context.WithTimeout(g.ctx, planner.MaxCallDelay)
 	g.endOutage = cancel
 	g.wg.Go(func() { g.pollWorkers(ctx) })
 }
@@ -138,22 +139,23 @@
 		return nil, err
 	}
 	late, err := g.config.Records.ReadLateStarts(ctx)
-	return assigned(late, witnesses, g.config.Address), err
+	return assign(late, witnesses, g.config.Address), err
 }
 
-// assigned returns the workers that the witness at an address has to poll. All witnesses
-// read the same records, so they agree without asking each other.
-func assigned(late []task.LateStart, witnesses witness.Set, address string) []task.LateStart {
+// assign returns the workers that the witness at an address has to poll: the worker at
+// index i is polled by the witnesses from index i on, in the order of their addresses. All
+// witnesses read the same records, so they agree without asking each other.
+func assign(late []task.LateStart, witnesses witness.Set, address string) []task.LateStart {
 	sorted := slices.Sorted(slices.Values(witnesses))
-	own := slices.Index(sorted, address)
-	var out []task.LateStart
+	own, count := slices.Index(sorted, address), len(sorted)
+	var assigned []task.LateStart
 	for i, l := range late {
-		distance := (own - i%len(sorted) + len(sorted)) % len(sorted)
-		if own >= 0 && distance < pollers && l.Fence > 0 {
-			out = append(out, l)
+		offset := (own - i%count + count) % count
+		if offset < pollersPerWorker && l.Fence > 0 { // a fence that is not known can't be exceeded
+			assigned = append(assigned, l)
 		}
 	}
-	return out
+	return assigned
 }
 
 // poll polls a worker until ctx ends. The polls extend no lease and acknowledge no ends. Their
