Share the play of the tests of starts after a hand-over

TestGivenUpStartAfterHandOver and TestGivenUpStartWithoutOwner repeated the same steps. playHandOver has them once; the delays, the order of events and the check are the same.

--- a/standin/cooperative/late_call_test.go
+++ b/standin/cooperative/late_call_test.go
@@ -52,6 +52,21 @@
 	checkInvariants(t, d)
 }
 
+// playHandOver submits a job whose start is carried out 9 s late, calls handOver with the time
+// of the start and the worker that gets the task's second run, and restarts the first worker
+// at restartAt after the start. No task may run twice.
+func playHandOver(t *testing.T, restartAt time.Duration, handOver func(d *cooperative.Deployment, sent time.Time, other int)) {
+	t.Helper()
+	d, worker, other := newLateDeployment(t, 3, 600*time.Millisecond)
+	submitLateJob(t, d, worker, 9*second, 12*second)
+	sent := time.Now()
+	handOver(d, sent, other)
+	time.Sleep(time.Until(sent.Add(restartAt)))
+	d.Cloud.RestartWorker(worker, cooperative.Restart{Downtime: 50 * time.Millisecond, RegisterDelay: 9 * second})
+	time.Sleep(3 * second)
+	checkInvariants(t, d)
+}
+
 // TestGivenUpStartAfterHandOver guards against a start of an earlier owner that a restarted
 // worker carries out: the next owner has to know that the start had no answer.
 func TestGivenUpStartAfterHandOver(t *testing.T) {
@@ -70,14 +85,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			d, worker, other := newLateDeployment(t, 3, 600*time.Millisecond)
-			submitLateJob(t, d, worker, 9*second, 12*second)
-			sent := time.Now()
-			test.handOver(t, d, other)
-			time.Sleep(time.Until(sent.Add(7500 * time.Millisecond)))
-			d.Cloud.RestartWorker(worker, cooperative.Restart{Downtime: 50 * time.Millisecond, RegisterDelay: 9 * second})
-			time.Sleep(3 * second)
-			checkInvariants(t, d)
+			playHandOver(t, 7500*time.Millisecond, func(d *cooperative.Deployment, _ time.Time, other int) { test.handOver(t, d, other) })
 		})
 	}
 }
@@ -86,16 +94,11 @@
 // restarted while no node owns the scheduler: the owner was killed, and its lease runs on.
 func TestGivenUpStartWithoutOwner(t *testing.T) {
 	t.Parallel()
-	d, worker, other := newLateDeployment(t, 3, 600*time.Millisecond)
-	submitLateJob(t, d, worker, 9*second, 12*second)
-	sent := time.Now()
-	awaitWorker(t, d, lateJob, other, 7*second)
-	time.Sleep(time.Until(sent.Add(7700 * time.Millisecond)))
-	d.Owner().Signal(syscall.SIGKILL)
-	time.Sleep(time.Until(sent.Add(8200 * time.Millisecond)))
-	d.Cloud.RestartWorker(worker, cooperative.Restart{Downtime: 50 * time.Millisecond, RegisterDelay: 9 * second})
-	time.Sleep(3 * second)
-	checkInvariants(t, d)
+	playHandOver(t, 8200*time.Millisecond, func(d *cooperative.Deployment, sent time.Time, other int) {
+		awaitWorker(t, d, lateJob, other, 7*second)
+		time.Sleep(time.Until(sent.Add(7700 * time.Millisecond)))
+		d.Owner().Signal(syscall.SIGKILL)
+	})
 }
 
 // TestGivenUpStartAfterHiddenRestart guards against a start that a worker carries out after a restart behind a partition.
