Send no starts to workers of zones under evacuation

Cause: the operators' requests to evacuate a zone were read by nobody.

Change: the owner reads the requests with the configuration. The planner leaves out the workers of these zones, and each link checks the zone and the age of the last confirmation before each attempt to send a start. Long tasks with checkpoints and service tasks move to other zones; after a withdrawal the workers become candidates again over two seconds. The soak evacuates zones.

--- a/bronzewinchd/platform.go
+++ b/bronzewinchd/platform.go
@@ -125,7 +125,7 @@
 func newController(s platform.Settings, store *platform.Store, workers *delegate.Workers, clock timer.Service,
 	set *metrics.Set) *controller.Controller {
 	c := controller.Config{Node: s.Node, Store: store, Lists: platform.ListWatcher{Store: store}, Workers: workers,
-		Planner: s.Planner, Timer: clock, Metrics: set}
+		Planner: s.Planner, MaxEvacuationDelay: s.MaxEvacuationDelay, Timer: clock, Metrics: set}
 	if adviser := platform.NewAdviser(s.AdviceAddress, set); adviser != nil {
 		c.Adviser = adviser
 	}
--- a/bwbench/soakbench/soak.go
+++ b/bwbench/soakbench/soak.go
@@ -334,6 +334,15 @@
 		s.deployment.Cloud.RequestWave(s.deployment.Cloud.LastWave()+1, waveTimeLimit, 1)
 		return nil
 	}},
+	{"evacuation of a zone", func(s *soak, r *rand.Rand) func() {
+		zone := cooperative.Zone(r.IntN(s.config.Workers))
+		s.deployment.Cloud.Evacuate(zone, true)
+		hold := time.Duration(r.IntN(8000)) * time.Millisecond
+		return func() {
+			time.Sleep(hold) // longer than the other faults, as the bound is five seconds
+			s.deployment.Cloud.Evacuate(zone, false)
+		}
+	}},
 	{"configuration changes", func(s *soak, _ *rand.Rand) func() { s.deployment.Configure(); return nil }},
 }
 
--- a/lib/controller/controller.go
+++ b/lib/controller/controller.go
@@ -96,8 +96,11 @@
 	// VMs may be nil if the platform has no VMs that need upkeep.
 	VMs     VMs
 	Planner planner.Config
-	Timer   timer.Service
-	Metrics *metrics.Set
+	// MaxEvacuationDelay bounds the time from a request to evacuate a zone to the last
+	// start in that zone. Zero means that the deployment sets no bound.
+	MaxEvacuationDelay time.Duration
+	Timer              timer.Service
+	Metrics            *metrics.Set
 }
 
 // Controller is the runtime of the scheduler. It serves calls while this node
@@ -124,6 +127,17 @@
 func New(c Config) *Controller {
 	ctrl := &Controller{config: c, lastHeartbeat: make(map[id.Node]time.Time), storeHealth: dependency.New("store", c.Timer),
 		listHealth: dependency.New("lists", c.Timer), metrics: newOwnerMetrics(c.Metrics)}
+	for name, value := range map[string]func(*session) int64{
+		"bronzewinch_evacuated_zones": func(s *session) int64 { return int64(len(s.evacuatedZones())) },
+		"bronzewinch_evacuated_runs":  func(s *session) int64 { return s.evacuatedRuns.Load() },
+	} {
+		c.Metrics.NewGauge(name, func() float64 {
+			if s := ctrl.session.Load(); s != nil {
+				return float64(value(s))
+			}
+			return 0
+		})
+	}
 	c.Metrics.NewGauge("bronzewinch_config_age_seconds", func() float64 {
 		if s := ctrl.session.Load(); s != nil {
 			return s.configAge().Seconds()
@@ -228,12 +242,14 @@
 	planner           *planner.Planner // used by the goroutine of runCycles only
 	events            *pipe.Queue[event]
 	directory         atomic.Pointer[directory]
+	evacuations       atomic.Pointer[evacuations]
 	configConfirmedAt atomic.Int64 // timer.SinceBoot when the directory was last confirmed as the newest
 	commitStartedAt   atomic.Int64 // timer.SinceBoot at the start of the transaction in progress, or zero
 	jobs              *shard.Map[id.Job, planner.Status]
 	adviceRequests    *pipe.Queue[planner.AdviceRequest]
 	upkeepOrders      *pipe.Queue[planner.UpkeepOrder]
 	wavesOpen         atomic.Bool                  // an upkeep wave is not finished
+	evacuatedRuns     atomic.Int64                 // runs in evacuated zones after the last cycle
 	undecided         *shard.Map[id.Job, struct{}] // jobs whose calls wait for a cycle
 	queueLengths      *shard.Map[task.QueueName, int]
 	links             *shard.Map[id.Worker, *link]
--- a/lib/controller/cycle.go
+++ b/lib/controller/cycle.go
@@ -62,7 +62,9 @@
 		s.linksCheckedAt = now
 		s.removeExpiredLinks(now)
 	}
+	s.planner.SetEvacuated(now, s.evacuatedZones())
 	s.planner.Tick(now)
+	s.evacuatedRuns.Store(int64(s.planner.EvacuatedRuns()))
 }
 
 // recordLeaseGrant records that a call that was sent at sent may extend the lease of a
@@ -387,6 +389,7 @@
 		return errors.Wrap(err, "read the configuration")
 	}
 	s.activateConfig(config)
+	s.updateEvacuations(config.Evacuations, true)
 	s.planner.Configure(plannerRules(*config.Config)) // Restore uses the rules
 	s.configConfirmedAt.Store(int64(timer.SinceBoot() - configWatchTimeout))
 	workers, err := readStored(ctx, s, s.controller.config.Lists.ReadWorkers)
--- a/lib/controller/deliver.go
+++ b/lib/controller/deliver.go
@@ -80,8 +80,9 @@
 		now := l.session.controller.config.Timer.Now()
 		l.mu.Lock()
 		target, fence, deadline, ended := l.target, l.fence, l.leaseDeadline(now), l.deliveredEnd
-		// It began to drain while the order waited, or has not answered since an earlier start.
-		unfit := o.Kind == planner.Start && (l.draining || l.awaitingReport)
+		// It began to drain or its zone to be evacuated while the order waited, or it has
+		// not answered since an earlier start.
+		unfit := o.Kind == planner.Start && (l.draining || l.awaitingReport || !l.session.mayStartIn(target.Zone))
 		l.mu.Unlock()
 		if ended {
 			result = planner.Accepted // a worker that has restarted since would carry out the order again
--- a/lib/controller/fake_test.go
+++ b/lib/controller/fake_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -147,6 +148,15 @@
 	workers []task.Worker
 	changes chan controller.Update // changes of the list of workers, if not nil
 	key     string                 // of the account, or testKey
+	configs chan configAnswer      // answers to the watch of the configuration, if not nil
+	// evacuated holds the zones that are evacuated in the complete state, if not nil.
+	evacuated *atomic.Pointer[map[id.Zone]bool]
+}
+
+// configAnswer is the answer to one watch of the configuration, or its error.
+type configAnswer struct {
+	update controller.Update
+	err    error
 }
 
 const (
@@ -156,7 +166,11 @@
 )
 
 func (l fakeLists) ReadConfig(context.Context) (controller.Update, error) {
-	return controller.Update{Version: 1, Config: &controller.Configuration{Number: 1, Version: 1,
+	var evacuations map[id.Zone]bool
+	if l.evacuated != nil {
+		evacuations = *l.evacuated.Load()
+	}
+	return controller.Update{Version: 1, Evacuations: evacuations, Config: &controller.Configuration{Number: 1, Version: 1,
 		Routes: []controller.Route{{Host: testHost, Prefix: "/q/", Queue: task.Queue{Name: testQueue, Service: "service",
 			Attempts: 2, Slack: 2, Target: time.Second}}},
 		Accounts: []controller.Account{{Name: "account", Keys: []string{cmp.Or(l.key, testKey), ""}, Guaranteed: 16}}}}, nil
@@ -167,7 +181,14 @@
 }
 
 func (l fakeLists) WatchConfig(ctx context.Context, after kv.Version, wait time.Duration) (controller.Update, error) {
-	return controller.Update{Version: after, Unchanged: true}, timer.Sleep(ctx, timer.NewSystem(), wait)
+	select {
+	case a := <-l.configs:
+		return a.update, a.err
+	case <-ctx.Done():
+		return controller.Update{}, ctx.Err()
+	case <-time.After(wait):
+	}
+	return controller.Update{Version: after, Unchanged: true}, nil
 }
 
 func (l fakeLists) WatchWorkers(ctx context.Context, after kv.Version, wait time.Duration) (controller.Update, error) {
@@ -357,6 +378,10 @@
 	election *election.Election
 }
 
+// testEvacuationDelay is long enough that only a test that withholds confirmations of the
+// configuration exceeds it.
+const testEvacuationDelay = 2 * time.Second
+
 // serve starts a controller on a store and workers, and waits until it serves.
 func serve(t *testing.T, store *fakeStore, workers *fakeWorkers) *testController {
 	t.Helper()
@@ -376,7 +401,7 @@
 }
 
 func newController(store *fakeStore, workers *fakeWorkers, lists fakeLists) *controller.Controller {
-	return controller.New(controller.Config{Node: "node", Store: store, Lists: lists, Workers: workers,
+	return controller.New(controller.Config{Node: "node", Store: store, Lists: lists, Workers: workers, MaxEvacuationDelay: testEvacuationDelay,
 		Planner: planner.Config{MaxLease: 6 * time.Second, RemoteFactor: 3, Retention: time.Minute, MaxGuaranteedWait: 3 * time.Second,
 			MaxStopTime: 400 * time.Millisecond},
 		Timer: timer.NewSystem(), Metrics: metrics.NewSet()})
--- a/lib/controller/lists.go
+++ b/lib/controller/lists.go
@@ -49,8 +49,8 @@
 	s.planner.Configure(plannerRules(e.config))
 }
 
-// watchConfig applies changes of the configuration and of the waves, and
-// records when the configuration was last confirmed as the newest.
+// watchConfig applies changes of the configuration, of the waves and of the
+// evacuations, and records when they were last confirmed as the newest.
 func (s *session) watchConfig(ctx context.Context, version kv.Version) {
 	for ctx.Err() == nil {
 		sent, all := timer.SinceBoot(), false
@@ -66,6 +66,7 @@
 		s.controller.listHealth.Observe(nil)
 		version = max(version, u.Version)
 		s.activateConfig(u)
+		s.updateEvacuations(u.Evacuations, all)
 		if all || len(u.Waves)+len(u.Withdrawn) > 0 {
 			if err := s.events.Put(waveEvent{u.Waves, u.Withdrawn, all}); err != nil && ctx.Err() == nil {
 				klog.ErrorS(err, "change of the upkeep waves dropped; the event queue did not accept it", "event", "wave")
--- a/lib/controller/request.go
+++ b/lib/controller/request.go
@@ -109,6 +109,9 @@
 	// they have withdrawn.
 	Waves     []task.Wave
 	Withdrawn []task.WaveNumber
+	// Evacuations holds, for each zone of which the request to evacuate it has changed,
+	// whether it is requested now. A complete state holds the requested zones.
+	Evacuations map[id.Zone]bool
 	// Unchanged means that nothing changed until the watch timed out.
 	Unchanged bool
 	// Skipped counts entries that could not be decoded.
--- a/lib/planner/plan.go
+++ b/lib/planner/plan.go
@@ -44,6 +44,13 @@
 	label   string
 }
 
+func newPass(p *Planner, now time.Time) *pass {
+	ps := &pass{planner: p, now: now, guaranteed: p.guaranteedJobs(), eligible: make(map[eligibility][]*candidate),
+		racks: make(map[eligibility][]rackSet)}
+	ps.addCandidates()
+	return ps
+}
+
 // take reserves resources on a candidate for the rest of the pass.
 func (ps *pass) take(c *candidate, demand unit.Resources) {
 	ps.freeAccelerators -= max(0, c.free.Accelerators)
@@ -57,9 +64,7 @@
 	if p.awaitsFirstReports(now) || !p.hasWaitingGroups() {
 		return
 	}
-	ps := &pass{planner: p, now: now, guaranteed: p.guaranteedJobs(), eligible: make(map[eligibility][]*candidate),
-		racks: make(map[eligibility][]rackSet)}
-	ps.addCandidates()
+	ps := newPass(p, now)
 	for _, j := range ps.jobOrder() {
 		ps.placeJob(j)
 	}
@@ -85,7 +90,7 @@
 	p.candidates = slices.Grow(p.candidates[:0], len(p.workersByID)) // pointers to its elements stay valid
 	for _, w := range p.workersByID {
 		w.candidate = nil
-		if !w.described() || !w.reported || w.Draining || w.reservedForUpkeep || ps.now.Before(w.barredUntil) {
+		if !w.described() || !w.reported || w.Draining || w.reservedForUpkeep || ps.now.Before(w.barredUntil) || p.isEvacuated(ps.now, w) {
 			continue
 		}
 		free := w.free()
@@ -118,7 +123,7 @@
 		return false
 	}
 	for _, w := range p.workers {
-		if w.listed && !w.reported {
+		if w.listed && !w.reported && !p.isEvacuated(now, w) {
 			return true
 		}
 	}
@@ -261,7 +266,9 @@
 		}
 	}
 	if remote == nil {
-		if g.needsRack() {
+		if zones := ps.zonesToAwait(g); len(zones) > 0 {
+			ps.logWaiting(g, "only workers in zones under evacuation may run it", "zones", zones)
+		} else if g.needsRack() {
 			ps.logWaiting(g, "no rack has enough free capacity", "remoteAfterMs", ps.remoteWait(g).Milliseconds())
 		} else {
 			ps.logWaiting(g, "not enough free capacity")
--- a/lib/planner/planner.go
+++ b/lib/planner/planner.go
@@ -146,6 +146,9 @@
 	completedWaves map[task.WaveNumber]bool
 	vms            map[id.VM]*task.VM // the platform's list, or nil while none has been read
 	lateStarts     map[id.Worker]*lateStart
+	evacuations    map[id.Zone]*evacuation
+	refills        map[id.Zone]time.Time // zones whose evacuation was withdrawn, and when
+	movedAt        time.Time             // when runs were last considered for a move out of evacuated zones
 
 	newJobs        []task.Job
 	dirtyJobs      map[id.Job]*job
@@ -170,6 +173,7 @@
 		runTimeRatios: make(map[task.QueueName]*runTimeRatio), dirtyJobs: make(map[id.Job]*job),
 		waves: make(map[task.WaveNumber]*wave), completedWaves: make(map[task.WaveNumber]bool),
 		dirtyWaves: make(map[task.WaveNumber]*wave), lateStarts: make(map[id.Worker]*lateStart),
+		evacuations: make(map[id.Zone]*evacuation), refills: make(map[id.Zone]time.Time),
 	}
 }
 
--- a/lib/planner/worker.go
+++ b/lib/planner/worker.go
@@ -498,8 +498,8 @@
 }
 
 // Tick opens occurrences that are due, ends the runs of workers whose lease has
-// expired, repeats unanswered orders to stop, advances the waves, and removes jobs that
-// ended longer than Config.Retention ago.
+// expired, repeats unanswered orders to stop, advances the waves and evacuations, and
+// removes jobs that ended longer than Config.Retention ago.
 func (p *Planner) Tick(now time.Time) {
 	for _, j := range p.activeJobs {
 		p.openDueOccurrences(now, j)
@@ -523,6 +523,7 @@
 	}
 	p.removeLateStarts(now)
 	p.advanceWaves(now)
+	p.advanceEvacuations(now)
 	for name, j := range p.jobs {
 		if j.state.Ended() && now.Sub(j.endedAt) > p.config.Retention {
 			delete(p.jobs, name)
--- a/standin/cooperative/cloud.go
+++ b/standin/cooperative/cloud.go
@@ -100,6 +100,8 @@
 	name        string
 	address     string
 	rack        string
+	zone        string
+	proxy       *Proxy // in front of its worker
 	clockDrift  float64
 	slot        *slot
 	generation  int
@@ -144,6 +146,7 @@
 	}
 	v.upkeepWave, v.down = 0, false
 	w := c.fleet.NewWorker(fmt.Sprintf("i-%s-%d", v.name, v.generation), v.clockDrift, v.former)
+	w.vm = v
 	if v.former == nil && v.generation == 1 {
 		w.epoch = w.epoch.Add(-initialUptime)
 	}
@@ -166,7 +169,7 @@
 // cut off from the store. c.mu must be held.
 func (c *Cloud) register(v *vm) {
 	if w := v.slot.worker.Load(); w != nil && v.cutOffAt.IsZero() {
-		c.store.Write("servers/"+w.ID, w.StoreEntry(v.address, v.rack, "ready"))
+		c.store.Write("servers/"+w.ID, w.StoreEntry(v.address, v.zone, v.rack, "ready"))
 	}
 }
 
@@ -248,6 +251,16 @@
 		"duration_s": timeLimit.Seconds(), "cap": maxDown})
 }
 
+// Evacuate requests that a zone gets no starts, or withdraws the request.
+func (c *Cloud) Evacuate(zone string, requested bool) {
+	var request any
+	if requested {
+		request = struct{}{}
+	}
+	c.store.Write("op/evacuate/"+zone, request)
+	c.fleet.setEvacuated(zone, requested)
+}
+
 // LastWave returns the number of the last requested wave, or zero.
 func (c *Cloud) LastWave() uint64 {
 	c.mu.Lock()
@@ -291,7 +304,7 @@
 	defer c.mu.Unlock()
 	all := []map[string]any{}
 	for _, v := range c.vms {
-		row := map[string]any{"machine": v.name, "pool": "service", "state": "up", "zone": "zone", "id": ""}
+		row := map[string]any{"machine": v.name, "pool": "service", "state": "up", "zone": v.zone, "id": ""}
 		if w := v.slot.worker.Load(); w != nil {
 			row["id"] = w.ID
 		}
--- a/standin/cooperative/cooperative_test.go
+++ b/standin/cooperative/cooperative_test.go
@@ -285,7 +285,7 @@
 	server := httptest.NewServer(worker.Handler())
 	t.Cleanup(server.Close)
 	entry := func(s *httptest.Server) map[string]any {
-		return worker.StoreEntry(strings.TrimPrefix(s.URL, "http://"), "r-0", "ready")
+		return worker.StoreEntry(strings.TrimPrefix(s.URL, "http://"), "zone-0", "r-0", "ready")
 	}
 	valid, err := json.Marshal(entry(other))
 	is.NoErr(err)
--- a/standin/cooperative/fleet.go
+++ b/standin/cooperative/fleet.go
@@ -49,6 +49,9 @@
 	// maxOverTarget is how long best-effort tasks may keep the tail latency of a
 	// service task over its target.
 	maxOverTarget = 4 * time.Second
+	// maxEvacuationDelay is the time from a request to evacuate a zone after which no
+	// start may be sent to its workers.
+	maxEvacuationDelay = 5 * time.Second
 	// WorkerGPUs is the number of GPUs of a worker.
 	WorkerGPUs = 8
 )
@@ -67,6 +70,7 @@
 	workers         map[*Worker]struct{}   // incarnations that are up
 	gangs           map[string]*gang
 	outages         map[string]outage // service tasks that have run and are not running now
+	evacuatedSince  map[string]time.Time // zones that an operator requests to evacuate
 	violations      []string
 	starts          int
 	skipUndisturbed bool
@@ -107,7 +111,7 @@
 func NewFleet() *Fleet {
 	return &Fleet{jobs: make(map[string][]Step), rejected: make(map[string]bool), failures: make(map[string]int),
 		succeeded: make(map[string]bool), acknowledged: make(map[string]bool), gangs: make(map[string]*gang),
-		lastStarts: make(map[string]startRecord), workers: make(map[*Worker]struct{}), outages: make(map[string]outage)}
+		lastStarts: make(map[string]startRecord), workers: make(map[*Worker]struct{}), outages: make(map[string]outage), evacuatedSince: make(map[string]time.Time)}
 }
 
 // SkipUndisturbedChecks disables the checks of guarantees that hold only while
@@ -336,6 +340,30 @@
 	}
 }
 
+// setEvacuated records the time of a request to evacuate a zone, or its withdrawal.
+func (f *Fleet) setEvacuated(zone string, requested bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !requested {
+		delete(f.evacuatedSince, zone)
+	} else if _, ok := f.evacuatedSince[zone]; !ok {
+		f.evacuatedSince[zone] = time.Now()
+	}
+}
+
+// checkEvacuation records a violation if a run starts in a zone that has been evacuated
+// for longer than maxEvacuationDelay. Starts that the network or the worker may have
+// delayed are not checked. f.mu must be held.
+func (f *Fleet) checkEvacuation(r *run, v *vm) {
+	since, ok := f.evacuatedSince[v.zone]
+	if !ok || r.startDelay > 0 || v.proxy.mayHoldBytes(2*maxEvacuationDelay) {
+		return
+	}
+	if age := time.Since(since); age > maxEvacuationDelay {
+		f.addViolation("task %s was started (%s) in %s, which has been evacuated for %v", r.name, r, v.zone, age.Round(time.Millisecond))
+	}
+}
+
 // failIncompleteGang ends the run of a gang member whose gang has not become
 // complete within gangStartTimeout.
 func (f *Fleet) failIncompleteGang(r *run) {
--- a/standin/cooperative/proxy.go
+++ b/standin/cooperative/proxy.go
@@ -32,6 +32,7 @@
 
 	mu      sync.Mutex
 	mode    ProxyMode
+	modeAt  time.Time // when mode was last set, or zero
 	changed chan struct{}
 	conns   map[net.Conn]struct{}
 }
@@ -62,11 +63,18 @@
 func (p *Proxy) SetMode(m ProxyMode) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.mode = m
+	p.mode, p.modeAt = m, time.Now()
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
 
+// mayHoldBytes reports whether the proxy may have held back bytes within a time.
+func (p *Proxy) mayHoldBytes(within time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode != Forward || time.Since(p.modeAt) < within
+}
+
 // Reset closes all connections with a TCP reset.
 func (p *Proxy) Reset() {
 	p.mu.Lock()
--- a/standin/cooperative/worker.go
+++ b/standin/cooperative/worker.go
@@ -15,6 +15,7 @@
 type Worker struct {
 	ID          string
 	fleet       *Fleet
+	vm          *vm // that it runs on, or nil
 	startMillis int64
 
 	epoch          time.Time
@@ -53,8 +54,8 @@
 
 // StoreEntry returns the entry that the worker writes into the store to
 // register itself.
-func (w *Worker) StoreEntry(address, rack, state string) map[string]any {
-	return map[string]any{"service": "service", "address": address, "zone": "zone", "version": "v1", "slots": 8, "state": state,
+func (w *Worker) StoreEntry(address, zone, rack, state string) map[string]any {
+	return map[string]any{"service": "service", "address": address, "zone": zone, "version": "v1", "slots": 8, "state": state,
 		"cold_left_ms": 0, "capacity": map[string]int{"cpu": 32000, "mem_mb": 131072, "gpu": WorkerGPUs},
 		"labels": []string{"a", rack}, "seq": 1, "born": w.startMillis}
 }
@@ -282,6 +283,9 @@
 	if f.rejected[r.job] {
 		f.addViolation("task %s of a rejected job was started", r.name)
 	}
+	if w.vm != nil {
+		f.checkEvacuation(r, w.vm)
+	}
 	if f.acknowledged[r.group()] {
 		f.addViolation("task %s was started again after an acknowledged success (%s)", r.name, r)
 	}
--- a/standin/cooperative/world.go
+++ b/standin/cooperative/world.go
@@ -42,6 +42,9 @@
 // priority.
 func PathPrefix(queue int) string { return fmt.Sprintf("/q%d/", queue) }
 
+// Zone returns the zone of a worker of a Deployment. Each has one rack.
+func Zone(worker int) string { return fmt.Sprintf("zone-%d", worker/4) }
+
 // NumQueues is the number of queues of a Deployment.
 const NumQueues = 3
 
@@ -139,7 +142,7 @@
 			return nil, err
 		}
 		d.WorkerProxies = append(d.WorkerProxies, p)
-		d.Cloud.add(&vm{name: fmt.Sprintf("m-%03d", i), address: p.Address(), rack: fmt.Sprintf("r-%d", i/4), slot: s,
+		d.Cloud.add(&vm{name: fmt.Sprintf("m-%03d", i), address: p.Address(), rack: fmt.Sprintf("r-%d", i/4), zone: Zone(i), proxy: p, slot: s,
 			clockDrift: maxClockDrift * float64(i%3) / 2})
 	}
 	var seeds []string
@@ -196,9 +199,9 @@
 		text += fmt.Sprintf("[limits]\nlink_mbps = %v\n", d.config.LinkMbps)
 	}
 	text += fmt.Sprintf("[listen]\nfront = %q\nready = %q\ncontrol = %q\n[bounds]\ngrace_s = 6\nhold_max_ms = %d\n"+
-		"stop_ms = %d\nstatus_s = 120\nreclaim_ms = 2900\nremote_factor = 3\nrestore_ms = 600\nupkeep_s = %g\nlease_ms = 1000\n"+
+		"stop_ms = %d\nstatus_s = 120\nreclaim_ms = 2900\nremote_factor = 3\nrestore_ms = 600\nupkeep_s = %g\nlease_ms = 1000\nevacuate_ms = %d\n"+
 		"[platform]\naddress = %q\n[cloud]\naddress = %q\n",
-		n.FrontAddress, n.ReadinessAddress, control, maxLease.Milliseconds(), stopDuration.Milliseconds(), upkeepTime.Seconds(), p.Address(), d.cloudProxy.Address())
+		n.FrontAddress, n.ReadinessAddress, control, maxLease.Milliseconds(), stopDuration.Milliseconds(), upkeepTime.Seconds(), maxEvacuationDelay.Milliseconds(), p.Address(), d.cloudProxy.Address())
 	if err := os.WriteFile(n.SettingsPath, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
