Evacuate zones on the product's own interface

Cause: operators of the product's own interface can drain single workers only.

Change: the record of a zone has the field evacuated, in schema v2. The owner of the zone excludes its workers from placement and sends no reservations that were decided before; the dispatcher prefers other zones. bronzewinch evacuate sets and clears the field.

Result: without the check before reservations, TestEvacuationAfterDecision fails.

--- a/bronzewinch/command/command.go
+++ b/bronzewinch/command/command.go
@@ -51,7 +51,7 @@
 		// Jobs.
 		&submitCommand{timeout: defaultUnreachableTimeout}, &cancelCommand{}, &jobsCommand{limit: 100}, &watchCommand{watch{interval: time.Second, timeout: defaultUnreachableTimeout}}, &explainCommand{},
 		// Entry nodes and workers.
-		&nodesCommand{}, &workersCommand{}, &drainCommand{},
+		&nodesCommand{}, &workersCommand{}, &drainCommand{}, &evacuateCommand{},
 		// Reports on a deployment.
 		&auditCommand{}, &reportCommand{}, &topCommand{interval: 2 * time.Second}, &traceCommand{},
 		// An example deployment in one process.
--- a/bronzewinch/command/nodes.go
+++ b/bronzewinch/command/nodes.go
@@ -10,6 +10,7 @@
 
 	"bronzewinch.dev/bronzewinch/client"
 	"bronzewinch.dev/lib/operator"
+	"bronzewinch.dev/lib/record"
 
 	"github.com/integrii/flaggy"
 )
@@ -137,3 +138,42 @@
 	}
 	return show(e, w, func(t *table) { t.row(w.Name, w.State, fmt.Sprint(len(w.Jobs), " jobs")) })
 }
+
+type evacuateCommand struct{ undo bool }
+
+func (*evacuateCommand) Info() Info {
+	return Info{Name: "evacuate", Args: "ZONE", Summary: "Stop placing new work in a zone, or with -undo, resume it.", MinArgs: 1, MaxArgs: 1,
+		Example: "bronzewinch evacuate entoto\nbronzewinch evacuate entoto -undo"}
+}
+
+func (c *evacuateCommand) Flags(sub *flaggy.Subcommand) {
+	sub.Bool(&c.undo, "", "undo", "place new work in the zone again")
+}
+
+// Run changes the record of the zone. The change is refused if the record has changed
+// since it was read.
+func (c *evacuateCommand) Run(ctx context.Context, e *Env) error {
+	cl, err := e.Client()
+	if err != nil {
+		return err
+	}
+	key := record.Key{Kind: record.KindZone, Name: e.Args[0]}.String()
+	found, err := client.Get[operator.Records](ctx, cl, "/v1/records?"+url.Values{"record": {key}}.Encode())
+	if err != nil {
+		return err
+	}
+	records, err := record.ParseFile(key, []byte(found.Document))
+	if err != nil {
+		return err
+	}
+	changed, err := records[0].WithEvacuated(!c.undo)
+	if err != nil {
+		return err
+	}
+	result, err := client.Post[operator.ChangeResult](ctx, cl, "/v1/changes", operator.ChangeRequest{
+		ChangeID: newChangeID(), Files: []operator.File{{Name: key, Text: record.FormatFile([]record.Record{changed})}}})
+	if err != nil {
+		return err
+	}
+	return show(e, result, func(t *table) { changeTable(t, result) })
+}
--- a/bronzewinch/command/records.go
+++ b/bronzewinch/command/records.go
@@ -59,7 +59,7 @@
 }
 
 func (c *changeFlags) request(args []string) (operator.ChangeRequest, error) {
-	req := operator.ChangeRequest{ChangeID: record.ChangeID(token.Random().Hash()[:24]), Overwrite: c.overwrite}
+	req := operator.ChangeRequest{ChangeID: newChangeID(), Overwrite: c.overwrite}
 	var err error
 	if req.Files, err = readFiles(args); err != nil {
 		return req, err
@@ -78,6 +78,8 @@
 	return req, nil
 }
 
+func newChangeID() record.ChangeID { return record.ChangeID(token.Random().Hash()[:24]) }
+
 // clientAndRequest returns the client and the change request of a command.
 func (c *changeFlags) clientAndRequest(e *Env) (*client.Client, operator.ChangeRequest, error) {
 	cl, err := e.Client()
--- a/bronzewinch/firstday/firstday_test.go
+++ b/bronzewinch/firstday/firstday_test.go
@@ -48,6 +48,9 @@
 		t.Errorf("the claim started after %v; the bound is %v", took, maxUrgentStart)
 	}
 	r.runSteps(t, ctx, whileRunning)
+	r.await(t, ctx, "almaz", "workers -zone akaki", "evacuated")
+	r.runSteps(t, ctx, []step{{"almaz", "evacuate akaki -undo", 0, []string{"zone/akaki"}, ""}})
+	r.await(t, ctx, "almaz", "workers -zone akaki", " up ")
 	r.await(t, ctx, "almaz", "history", "almaz")
 	r.await(t, ctx, "almaz", "audit -zone akaki", "claims")
 	r.await(t, ctx, "almaz", "nodes", "place/akaki")
@@ -109,6 +112,9 @@
 	{"almaz", "workers -zone akaki", 0, []string{"draining"}, ""},
 	{"almaz", "drain akaki-r9-w1", command.StatusNotFound, []string{"akaki-r9-w1"}, ""},
 	{"almaz", "drain akaki-r1-w1 -undo", 0, []string{"up"}, ""},
+	{"schools", "evacuate akaki", command.StatusDenied, []string{"operator"}, ""},
+	{"almaz", "evacuate nowhere", command.StatusNotFound, []string{"zone/nowhere"}, ""},
+	{"almaz", "evacuate akaki", 0, []string{"zone/akaki"}, ""},
 	{"almaz", "workers -zone nowhere", command.StatusNotFound, []string{"nowhere"}, ""},
 }
 
--- a/lib/dispatch/choose.go
+++ b/lib/dispatch/choose.go
@@ -29,6 +29,16 @@
 // can be negative.
 func (l Load) spare() unit.Accelerators { return l.Free - l.Waiting }
 
+// openZones returns the loads of the zones that are not evacuated, or all loads if none
+// are left. A job then waits in an evacuated zone.
+func openZones(set *record.Set, loads []Load) []Load {
+	open := slices.DeleteFunc(slices.Clone(loads), func(l Load) bool { return set.Zones[l.Zone].Evacuated })
+	if len(open) == 0 {
+		return loads
+	}
+	return open
+}
+
 // chooseZone returns the zone for a job. A claim is sent to the zone with the
 // most unclaimed copies of its shape. For any other job, and to break ties, the
 // zone with the most spare accelerators is chosen, and then the first by name,
--- a/lib/dispatch/dispatch.go
+++ b/lib/dispatch/dispatch.go
@@ -194,6 +194,7 @@
 		}
 	}
 	key := record.GuaranteeKey{Account: s.Spec.Account, Name: s.Spec.Claim}
+	loads = openZones(set, loads)
 	zone := chooseZone(s.Spec, loads, func(z id.Zone) int { return d.bindingFor(set).CopyCounts(z)[key] })
 	return zoneRequest[submission]{zone, s}, nil
 }
--- a/lib/dispatch/dispatch_test.go
+++ b/lib/dispatch/dispatch_test.go
@@ -176,6 +176,29 @@
 	is.Equal(len(jobs), 1)
 }
 
+// TestSubmitAvoidsEvacuatedZones guards against a job that waits in an evacuated zone although
+// another one can run it, and against one that is refused, or accepted a second time, as
+// all its zones are evacuated.
+func TestSubmitAvoidsEvacuatedZones(t *testing.T) {
+	is := is.New(t)
+	node, d := newDispatcher(t)
+	evacuate := func(name id.Zone) {
+		z := node.set.Zones[name]
+		z.Evacuated = true
+		node.set.Zones[name] = z
+	}
+	for n, want := range []id.Zone{"sululta", "bole", "akaki", "sululta"} {
+		name := id.Job(fmt.Sprint("j", n))
+		j, err := d.Submit(t.Context(), name, spec(2, ""))
+		is.NoErr(err)
+		is.Equal(j.Zone, want)
+		evacuate(want)
+		again, err := d.Submit(t.Context(), name, spec(2, ""))
+		is.NoErr(err)
+		is.Equal(again.Zone, want)
+	}
+}
+
 // TestNeverFitsNamesNearestShape guards against a NeverFits error that does not
 // name a shape that could run.
 func TestNeverFitsNamesNearestShape(t *testing.T) {
--- a/lib/fleet/view.go
+++ b/lib/fleet/view.go
@@ -20,6 +20,8 @@
 	Unhealthy   ExclusionReason = "unhealthy"
 	Draining    ExclusionReason = "draining"
 	Lost        ExclusionReason = "lost"
+	// Evacuated is the reason for all workers of an evacuated zone.
+	Evacuated ExclusionReason = "evacuated"
 )
 
 // Gang is a gang with allocated resources. It must not be modified after it was
--- a/lib/node/place.go
+++ b/lib/node/place.go
@@ -125,6 +125,7 @@
 	states := map[fleet.ExclusionReason]operator.WorkerState{
 		fleet.NotExcluded: operator.WorkerUp, fleet.Draining: operator.WorkerDraining,
 		fleet.Unhealthy: operator.WorkerFailing, fleet.Lost: operator.WorkerUnreachable,
+		fleet.Evacuated: operator.WorkerEvacuated,
 	}
 	var out []operator.Worker
 	for _, w := range p.placer.Workers() {
--- a/lib/operator/api.go
+++ b/lib/operator/api.go
@@ -254,6 +254,7 @@
 	WorkerDraining    WorkerState = "draining"
 	WorkerFailing     WorkerState = "failing"
 	WorkerUnreachable WorkerState = "unreachable"
+	WorkerEvacuated   WorkerState = "evacuated"
 )
 
 // Worker is a worker with its current allocations.
--- a/lib/placer/placer.go
+++ b/lib/placer/placer.go
@@ -170,6 +170,8 @@
 		exclusion = fleet.Lost
 	case p.draining[w], p.overcommitted[w]:
 		exclusion = fleet.Draining
+	case p.set.Zones[p.config.Zone].Evacuated:
+		exclusion = fleet.Evacuated
 	case p.isUnhealthy(w):
 		exclusion = fleet.Unhealthy
 	}
--- a/lib/placer/placer_test.go
+++ b/lib/placer/placer_test.go
@@ -145,3 +145,23 @@
 		})
 	}
 }
+
+// TestEvacuatedZone guards against a gang that is placed in an evacuated zone, against one
+// that stops because its zone is evacuated, and against a zone that is not used again.
+func TestEvacuatedZone(t *testing.T) {
+	is := is.New(t)
+	evacuated := newRecords(2, fullResources, fullResources)
+	z := evacuated.Zones["bole"]
+	z.Evacuated = true
+	evacuated.Zones["bole"] = z
+	p := newPlacer(t, newRecords(1, fullResources, fullResources))
+	is.Equal(len(planAndReserve(p, waitingJob("runs", 1))), 1)
+	p.SetConfig(evacuated)
+	records := p.Plan(start, []job.Job{waitingJob("waits", 1)})
+	is.Equal(len(records), 3) // both workers, and the job
+	is.Equal(records[0].Reason, "its zone is evacuated")
+	is.Equal(len(records[2].Members), 0)
+	is.Equal(p.Workers()[0].Jobs, []id.Job{"runs"})
+	p.SetConfig(newRecords(3, fullResources, fullResources))
+	is.Equal(len(planAndReserve(p, waitingJob("waits", 1))), 1)
+}
--- a/lib/placer/records.go
+++ b/lib/placer/records.go
@@ -13,6 +13,7 @@
 	fleet.Lost:      "it does not answer, or may still run a gang that was stopped",
 	fleet.Draining:  "an operator drains it",
 	fleet.Unhealthy: "tasks of several jobs failed on it",
+	fleet.Evacuated: "its zone is evacuated",
 }
 
 // workerChanges returns a record for each worker that was excluded from placement
--- a/lib/record/convert_test.go
+++ b/lib/record/convert_test.go
@@ -129,6 +129,7 @@
 		}
 	case *ZoneV2:
 		if onlyV2 {
+			r.Evacuated = rapid.Bool().Draw(t, "evacuated")
 			r.Racks = append(r.Racks, RackV2{Name: "r9", PerWorker: ResourcesV2{1, 0.5, Size(unit.MiB)}, Workers: []WorkerV2{}})
 		}
 	case *PolicyV2:
--- a/lib/record/document.go
+++ b/lib/record/document.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"bronzewinch.dev/lib/id"
+	"bronzewinch.dev/lib/problem"
 
 	"github.com/pelletier/go-toml/v2"
 )
@@ -20,6 +21,18 @@
 	return c
 }
 
+// WithEvacuated returns the record of a zone in schema v2, with the zone evacuated or not.
+func (r Record) WithEvacuated(evacuated bool) (Record, error) {
+	z, ok := r.asV2().(*ZoneV2)
+	if !ok {
+		return Record{}, problem.New(problem.Invalid, problem.Detail{Field: "record", Value: r.key.String(), Limit: "a zone",
+			Remedy: "name a zone"})
+	}
+	changed := *z
+	changed.Evacuated = evacuated
+	return newRecord(&changed), nil
+}
+
 // FormatFile formats records, with their base revisions, as a file that
 // ParseFile accepts.
 func FormatFile(records []Record) string {
--- a/lib/record/set.go
+++ b/lib/record/set.go
@@ -110,6 +110,8 @@
 	Name    id.Zone
 	Region  id.Region
 	Workers []Worker
+	// Evacuated means that no new work is placed in the zone.
+	Evacuated bool
 }
 
 // Policy has the weights and limits of placement.
--- a/lib/record/zone.go
+++ b/lib/record/zone.go
@@ -51,7 +51,9 @@
 type ZoneV2 struct {
 	HeaderV2
 	Region id.Region `toml:"region"`
-	Racks  []RackV2  `toml:"racks"`
+	// Evacuated means that no new work is placed in the zone.
+	Evacuated bool     `toml:"evacuated,omitempty"`
+	Racks     []RackV2 `toml:"racks"`
 }
 
 func (z *ZoneV1) check(r *report) {
@@ -170,6 +172,9 @@
 
 func (z *ZoneV2) toV1(r *report) bodyV1 {
 	v1 := &ZoneV1{Region: z.Region, Workers: []WorkerV1{}}
+	if z.Evacuated {
+		r.addUnsupported("evacuated", "true", "no evacuated zone")
+	}
 	for i, rack := range z.Racks {
 		if len(rack.Workers) == 0 {
 			r.addUnsupported(fmt.Sprintf("racks[%d]", i), string(rack.Name), "no rack without workers")
@@ -184,7 +189,7 @@
 }
 
 func (z *ZoneV2) addTo(s *Set) {
-	in := Zone{Name: id.Zone(z.Name), Region: z.Region}
+	in := Zone{Name: id.Zone(z.Name), Region: z.Region, Evacuated: z.Evacuated}
 	for _, rack := range z.Racks {
 		for _, w := range rack.Workers {
 			in.Workers = append(in.Workers, Worker{w.Name, rack.Name, w.Address, toResources(rack.resourcesOf(w))})
--- a/lib/scheduler/link.go
+++ b/lib/scheduler/link.go
@@ -135,6 +135,10 @@
 	if s.isFenced() || check() != nil {
 		return
 	}
+	if kind == worker.Reserve && s.recordSet.Load().Zones[s.cfg.Zone].Evacuated {
+		s.rejectReservations(l, tasks)
+		return
+	}
 	sent := s.cfg.Clock.Now()
 	reports, err := s.stages.call[kind].Process(s.ctx, workerCall{l.worker, worker.Command{
 		Kind: kind, Shard: s.cfg.Shard, Epoch: s.cfg.Term.Epoch(), Tasks: tasks}})
@@ -154,6 +158,15 @@
 	}
 }
 
+// rejectReservations ends the attempts whose reservations have not been sent when the
+// zone was evacuated, so that their jobs wait again.
+func (s *Scheduler) rejectReservations(l *link, tasks []worker.Task) {
+	for _, t := range tasks {
+		s.enqueueReport(report{worker: l.worker, sent: s.cfg.Clock.Now(),
+			Report: worker.Report{Ref: t.Ref, State: worker.Rejected, Reason: "the zone is evacuated"}})
+	}
+}
+
 // recordAnswer records that a worker answered a call sent at a time, and ends the
 // exclusion of a worker that was lost.
 func (s *Scheduler) recordAnswer(l *link, sent time.Time) {
--- a/standin/scheduling/cases_test.go
+++ b/standin/scheduling/cases_test.go
@@ -160,6 +160,37 @@
 	})
 }
 
+// TestEvacuationAfterDecision guards against work that is begun in an evacuated zone because
+// it was placed before, and against a job that is lost when its placement is given up.
+func TestEvacuationAfterDecision(t *testing.T) {
+	withHarness(t, func(is *is.I, h *harness) {
+		h.advance(time.Second)
+		evacuated := *h.records
+		zone := evacuated.Zones["a"]
+		zone.Evacuated = true
+		evacuated.Zones = map[id.Zone]record.Zone{"a": zone}
+		var reservations atomic.Int32
+		h.mu.Lock()
+		h.onCall = func(_ id.Worker, c worker.Command) {
+			if c.Kind == worker.Reserve {
+				reservations.Add(1)
+			}
+		}
+		h.mu.Unlock()
+		h.submit("waits", 3, false)
+		h.currentOwner().term.close() // blocks the append of the decision
+		h.advance(time.Second)
+		h.currentOwner().SetConfig(&evacuated)
+		h.currentOwner().term.open()
+		h.advance(10 * time.Second)
+		is.Equal(reservations.Load(), int32(0))
+		is.True(h.phase("waits") != job.Running)
+		h.currentOwner().SetConfig(h.records)
+		h.advance(10 * time.Second)
+		is.Equal(h.phase("waits"), job.Running)
+	})
+}
+
 // TestClaimWaitsForCheckpointsOnly guards against a claim that, after its victims
 // have written their checkpoints, waits until the next renewal reports them.
 func TestClaimWaitsForCheckpointsOnly(t *testing.T) {
