Restart gangs of leaving workers without the wait for a lease

Cause: a gang whose worker drained and left lost the work of all members, and started again only when the lease of the lost member had expired, 10.4 s later.

Change: a gang that is expected to end after its worker has left is stopped when it fits elsewhere. Once a complete gang is reported as ended, members on workers that do not report count as ended; failures that are reported later still count as attempts.

--- a/bwbench/soakbench/soak.go
+++ b/bwbench/soakbench/soak.go
@@ -328,6 +328,10 @@
 	{"worker restarts under its id", workerRestart(false)},
 	{"worker restarts under its id", workerRestart(false)},
 	{"worker restarts under a new id", workerRestart(true)},
+	{"worker drains and is replaced", func(s *soak, r *rand.Rand) func() {
+		s.deployment.Cloud.ReplaceWorker(randomWorker(s, r), time.Duration(1000+r.IntN(4000))*time.Millisecond)
+		return nil
+	}},
 	{"orders to a worker are late", lateCalls(cooperative.StartPath, cooperative.StopPath)},
 	{"calls to a worker are late", lateCalls(cooperative.StartPath, cooperative.StopPath, cooperative.PollPath)},
 	{"wave of upkeep", func(s *soak, r *rand.Rand) func() {
--- a/lib/planner/job.go
+++ b/lib/planner/job.go
@@ -44,11 +44,16 @@
 	members        []*member // of the run in progress, without those that have ended
 	stopping       bool
 	failureCounted bool      // the failure of the run in progress is in failures
-	readyAt        time.Time // since when the group could start
-	startedAt      time.Time
-	lowUseSince    time.Time   // since when the group waits for a rack during low use, or zero
-	waitLoggedAt   time.Time   // when it was last logged that the group waits
-	failedOn       []id.Worker // workers on which a run of the group has failed
+	complete       bool      // a member of the run in progress has made progress, so all were present
+	gangEndedAt    time.Time // when it became known that the platform ends all members, or zero
+	// unseenEnds holds runs that were ended before the ends of all members were known. A
+	// failure among those ends is not in failures yet.
+	unseenEnds   []task.RunNumber
+	readyAt      time.Time // since when the group could start
+	startedAt    time.Time
+	lowUseSince  time.Time   // since when the group waits for a rack during low use, or zero
+	waitLoggedAt time.Time   // when it was last logged that the group waits
+	failedOn     []id.Worker // workers on which a run of the group has failed
 }
 
 type member struct {
@@ -270,7 +275,7 @@
 }
 
 func (g *group) progress() task.GroupProgress {
-	p := task.GroupProgress{Done: g.done, Run: g.run, Failures: g.failures, Checkpoint: g.checkpoint}
+	p := task.GroupProgress{Done: g.done, Run: g.run, Failures: g.failures, Checkpoint: g.checkpoint, UnseenEnds: g.unseenEnds}
 	for _, m := range g.members {
 		p.Placements = append(p.Placements, task.Placement{Index: m.index, Worker: m.worker.ID, Incarnation: m.incarnation})
 	}
@@ -318,7 +323,7 @@
 func (p *Planner) restoreGroup(now, leaseExpiry time.Time, g *group, stored task.GroupProgress) {
 	// Earlier versions stored service tasks as done if a late report said so.
 	g.done = stored.Done && !g.step().Service
-	g.run, g.failures, g.checkpoint = stored.Run, stored.Failures, stored.Checkpoint
+	g.run, g.failures, g.checkpoint, g.unseenEnds = stored.Run, stored.Failures, stored.Checkpoint, stored.UnseenEnds
 	g.startedAt = now
 	if g.done {
 		g.occurrence.remaining--
--- a/lib/planner/planner.go
+++ b/lib/planner/planner.go
@@ -148,6 +148,7 @@
 	lateStarts     map[id.Worker]*lateStart
 	evacuations    map[id.Zone]*evacuation
 	refills        map[id.Zone]time.Time // zones whose evacuation was withdrawn, and when
+	departuresAt   time.Time             // when the runs on draining workers were last looked at
 	movedAt        time.Time             // when runs were last considered for a move out of evacuated zones
 
 	newJobs        []task.Job
--- a/lib/planner/worker.go
+++ b/lib/planner/worker.go
@@ -59,6 +59,7 @@
 	barredUntil         time.Time    // no starts before this time
 	failedJobs          []id.Job     // jobs that failed here since the last success
 	reservedForUpkeep   bool         // its VM is being drained or has its upkeep
+	staysUntil          time.Time    // least time until which a draining worker stays, or zero if it is not known
 	vm                  id.VM        // the worker's VM, known once it is drained for an upkeep
 	colocated           bool         // it runs best-effort tasks beside service tasks
 	pace                task.Percent // of its best-effort tasks
@@ -126,18 +127,15 @@
 		return
 	}
 	p.setIncarnation(w, listed.Incarnation)
-	if listed.Draining && !w.Draining {
-		p.logDecision(Decision{Event: "workerDraining", Worker: w.ID})
-	}
 	if !w.listed || w.Capacity != listed.Capacity {
 		p.logDecision(Decision{Event: "workerListed", Worker: w.ID, Fields: []any{"rack", listed.Rack,
 			"incarnation", listed.Incarnation, "capacity", task.FormatResources(listed.Capacity)}})
 	}
-	draining := listed.Draining || w.Draining && w.Incarnation == listed.Incarnation
+	draining := w.Draining && w.Incarnation == listed.Incarnation
 	w.Worker, w.listed, w.listedIncarnation = listed, true, listed.Incarnation
 	w.Draining = draining
-	if draining {
-		p.drainWorker(now, w)
+	if listed.Draining {
+		p.setDraining(now, now, w, listed.Remaining, "")
 	}
 }
 
@@ -162,7 +160,7 @@
 	if w.Incarnation != 0 && w.Incarnation != incarnation {
 		p.logDecision(Decision{Event: "workerRestarted", Worker: w.ID, Fields: []any{"incarnation", incarnation,
 			"previousIncarnation", w.Incarnation, "runs", len(w.members)}})
-		w.Draining, w.failedJobs, w.barredUntil = false, nil, time.Time{}
+		w.Draining, w.staysUntil, w.failedJobs, w.barredUntil = false, time.Time{}, nil, time.Time{}
 		w.reservedForUpkeep, w.vm, w.reported = false, "", false
 	}
 	w.Incarnation = incarnation
@@ -182,17 +180,6 @@
 	}
 }
 
-// drainWorker stops those runs on a draining worker that lose no work by it, so that
-// they start elsewhere: tasks with checkpoints and service tasks, unless they belong
-// to a gang.
-func (p *Planner) drainWorker(now time.Time, w *worker) {
-	for _, m := range slices.Clone(w.members) {
-		if s := m.group.step(); (s.Checkpoints || s.Service) && !s.Gang {
-			p.stopGroup(now, m.group, "the worker is draining")
-		}
-	}
-}
-
 // HandleReport updates the runs of a worker to its report, which answers a call that
 // was sent at sent. A report of an earlier incarnation is ignored. Runs of an earlier
 // incarnation that the report does not list have ended, so the caller must request the
@@ -208,15 +195,13 @@
 	if expiry := p.config.LeaseExpiry(now); w.restoredLeaseExpiry.After(expiry) {
 		w.restoredLeaseExpiry = expiry
 	}
-	if report.Draining && !w.Draining {
-		w.Draining = true
-		p.logDecision(Decision{Event: "workerDraining", Worker: w.ID, Reason: "reported by the worker", Age: report.Remaining})
-		p.drainWorker(now, w)
-	}
 	asOf := report.AsOf
 	if asOf.IsZero() {
 		asOf = sent
 	}
+	if report.Draining {
+		p.setDraining(now, asOf, w, report.Remaining, "reported by the worker")
+	}
 	for _, a := range report.Active {
 		p.handleActiveRun(now, asOf, w, a)
 	}
@@ -298,6 +283,9 @@
 	if a.Checkpoint != "" {
 		g.checkpoint = a.Checkpoint
 	}
+	if a.Percent > 0 {
+		g.complete = true
+	}
 	if a.Percent > m.percent || m.progressedAt.IsZero() {
 		m.percent, m.progressedAt = a.Percent, asOf
 	}
@@ -364,13 +352,18 @@
 		p.countFailure(now, w, e.Task.Job)
 		m.group.failedOn = append(m.group.failedOn, w.ID)
 	}
+	m.group.noteGangEnd(now, e.Reason)
 	p.endMember(now, m, e.Reason, e.Checkpoint, "reported by the worker")
 }
 
 // handleLateEnd accepts the success of a run that the planner has already ended, if
-// its group has not started again. Service tasks start again however they end.
+// its group has not started again, and counts its failure. Service tasks start again
+// however they end.
 func (p *Planner) handleLateEnd(now time.Time, name id.Worker, e task.EndedRun) {
 	g := p.findGroup(e.Task)
+	if g != nil && e.Reason == task.EndFailed {
+		p.countUnseenFailure(now, g, e.Run)
+	}
 	if g == nil || e.Reason != task.EndDone || g.step().Service || g.job.state.Ended() || g.run != e.Run || !g.idle() {
 		return
 	}
@@ -416,13 +409,19 @@
 	}
 	if endReason == task.EndFailed && !g.failureCounted && !g.done {
 		g.failureCounted = true
-		g.failures++
-		if g.failures >= j.queue.Attempts && !g.step().Service && !j.state.Ended() {
-			p.endJob(now, j, task.Failed, "a task has failed as often as its queue allows")
-		}
+		p.countFailedRun(now, g)
 	}
 	if len(g.members) == 0 {
 		g.stopping, g.failureCounted, g.readyAt = false, false, now
+		g.complete, g.gangEndedAt = false, time.Time{}
+	}
+}
+
+// countFailedRun counts a failed run of a group, and ends its job after the last attempt.
+func (p *Planner) countFailedRun(now time.Time, g *group) {
+	g.failures++
+	if j := g.job; g.failures >= j.queue.Attempts && !g.step().Service && !j.state.Ended() {
+		p.endJob(now, j, task.Failed, "a task has failed as often as its queue allows")
 	}
 }
 
@@ -521,6 +520,8 @@
 			}
 		}
 	}
+	p.endBrokenGangs(now)
+	p.leaveDrainingWorkers(now)
 	p.removeLateStarts(now)
 	p.advanceWaves(now)
 	p.advanceEvacuations(now)
--- a/lib/task/record.go
+++ b/lib/task/record.go
@@ -34,6 +34,9 @@
 	// Placements holds the workers of the members that have not ended, while a run is in
 	// progress.
 	Placements []Placement `cbor:"p,omitempty"`
+	// UnseenEnds holds runs of a gang that were ended before the ends of all members were
+	// known.
+	UnseenEnds []RunNumber `cbor:"u,omitempty"`
 }
 
 // Placement is the worker on which a member of a group was ordered to start.
--- a/lib/task/task.go
+++ b/lib/task/task.go
@@ -228,6 +228,8 @@
 	Capacity    unit.Resources
 	Labels      []string
 	Draining    bool
+	// Remaining is the least time that a draining worker stays, or zero if it is not known.
+	Remaining time.Duration
 }
 
 // State is the state of a job that is reported to its submitter.
--- a/standin/cooperative/cloud.go
+++ b/standin/cooperative/cloud.go
@@ -218,6 +218,28 @@
 	})
 }
 
+// ReplaceWorker lets the worker on a VM drain for a time, and then replaces it.
+func (c *Cloud) ReplaceWorker(index int, drain time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	v := c.vms[index]
+	w := v.slot.worker.Load()
+	if w == nil || !v.cutOffAt.IsZero() {
+		return
+	}
+	entry := w.StoreEntry(v.address, v.zone, v.rack, "draining")
+	entry["remaining_ms"] = drain.Milliseconds()
+	c.store.Write("servers/"+w.ID, entry)
+	time.AfterFunc(drain, func() {
+		c.mu.Lock()
+		current := v.slot.worker.Load()
+		c.mu.Unlock()
+		if current == w {
+			c.RestartWorker(index, Restart{Downtime: time.Second, RegisterDelay: time.Millisecond, NewID: true})
+		}
+	})
+}
+
 // SetLateCalls sets which calls to the worker on a VM are carried out late; nil
 // means none.
 func (c *Cloud) SetLateCalls(index int, l *LateCalls) {
