--- a/standin/cooperative/fleet.go
+++ b/standin/cooperative/fleet.go
@@ -69,7 +69,7 @@
 	lastStarts      map[string]startRecord // of each task and gang
 	workers         map[*Worker]struct{}   // incarnations that are up
 	gangs           map[string]*gang
-	outages         map[string]outage // service tasks that have run and are not running now
+	outages         map[string]outage    // service tasks that have run and are not running now
 	evacuatedSince  map[string]time.Time // zones that an operator requests to evacuate
 	violations      []string
 	starts          int
--- a/standin/cooperative/world.go
+++ b/standin/cooperative/world.go
@@ -30,6 +30,9 @@
 	// LinkMbps is the rate of the nodes' network links in their settings, or zero for
 	// none. The links themselves are not limited.
 	LinkMbps float64
+	// MemoryMB and MaxFDs are the limits of the nodes' memory and file descriptors in
+	// their settings, or zero for none. They are not enforced.
+	MemoryMB, MaxFDs int
 }
 
 // Host name and API key in the configuration that a Deployment writes.
@@ -195,8 +198,15 @@
 		text += fmt.Sprintf("%q,", s)
 	}
 	text += "]\n"
+	text += "[limits]\n"
 	if d.config.LinkMbps > 0 {
-		text += fmt.Sprintf("[limits]\nlink_mbps = %v\n", d.config.LinkMbps)
+		text += fmt.Sprintf("link_mbps = %v\n", d.config.LinkMbps)
+	}
+	if d.config.MemoryMB > 0 {
+		text += fmt.Sprintf("memory_mb = %d\n", d.config.MemoryMB)
+	}
+	if d.config.MaxFDs > 0 {
+		text += fmt.Sprintf("max_fds = %d\n", d.config.MaxFDs)
 	}
 	text += fmt.Sprintf("[listen]\nfront = %q\nready = %q\ncontrol = %q\n[bounds]\ngrace_s = 6\nhold_max_ms = %d\n"+
 		"stop_ms = %d\nstatus_s = 120\nreclaim_ms = 2900\nremote_factor = 3\nrestore_ms = 600\nupkeep_s = %g\nlease_ms = 1000\nevacuate_ms = %d\n"+
@@ -267,6 +277,16 @@
 	}
 }
 
+// PID returns the process id of the node's process, or zero if it is not running.
+func (n *Node) PID() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.process == nil {
+		return 0
+	}
+	return n.process.Process.Pid
+}
+
 // Log returns what the node has logged so far.
 func (n *Node) Log() string {
 	b, err := os.ReadFile(n.log.Name())
