Bound what clients may hold in a node

Cause: a node had no limits of its own on heads, on the time for a body, on what bodies take together and decode to, and on connections. Small crowds took up to 3,879 MB and 619 descriptors of a node with 64 MB and 400.

The owner bounds the calls of other nodes.

--- a/bronzewinchd/platform.go
+++ b/bronzewinchd/platform.go
@@ -7,17 +7,20 @@
 	"net"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
 	"bronzewinch.dev/lib/controller"
 	"bronzewinch.dev/lib/delegate"
 	"bronzewinch.dev/lib/election"
+	"bronzewinch.dev/lib/httpguard"
 	"bronzewinch.dev/lib/latestart"
 	"bronzewinch.dev/lib/logline"
 	"bronzewinch.dev/lib/peer"
 	"bronzewinch.dev/lib/relay"
 	"bronzewinch.dev/lib/timer"
+	"bronzewinch.dev/lib/unit"
 	"bronzewinch.dev/platform"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -54,6 +57,7 @@
 		return err
 	}
 	settings.MetricsPort = metricsPort
+	limitMemory(settings.Memory)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	reload := make(chan os.Signal, 1)
@@ -83,6 +87,18 @@
 	return dig.RootCause(err)
 }
 
+// softMemoryShare is the share of the VM's memory at which the runtime collects garbage
+// ever more often. The rest is for stacks, the program and what the runtime can't collect.
+const softMemoryShare = 0.8
+
+// limitMemory sets the soft memory limit of the runtime for a VM, unless its memory is not
+// known or the operator has set another limit by GOMEMLIMIT.
+func limitMemory(vm unit.Bytes) {
+	if vm > 0 && os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(softMemoryShare * float64(vm)))
+	}
+}
+
 // checkPlatform prints a confirmation if the settings are valid, and returns an error
 // otherwise.
 func checkPlatform() error {
@@ -150,7 +166,7 @@
 func newRelay(s platform.Settings, elect *election.Election, ctrl *controller.Controller, pool *peer.Pool, server *peer.Server,
 	delegates *delegate.Table, guard *latestart.Guard, clock timer.Service) *relay.Relay {
 	return relay.New(relay.Config{Node: s.Node, Address: s.PeerAddress, Zone: s.Zone, Cores: s.Cores, Delegates: delegates, OwnerObserver: guard, Seeds: s.Seeds, Election: elect, Controller: ctrl, Pool: pool,
-		Server: server, Timer: clock})
+		Server: server, CallMemory: httpguard.MemoryFor(s.Memory), Timer: clock})
 }
 
 // settingsPollInterval is how often the settings file is checked for changes. The file
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -15,6 +15,7 @@
 	"bronzewinch.dev/lib/caller"
 	"bronzewinch.dev/lib/configsync"
 	"bronzewinch.dev/lib/dispatch"
+	"bronzewinch.dev/lib/httpguard"
 	"bronzewinch.dev/lib/id"
 	"bronzewinch.dev/lib/kv"
 	"bronzewinch.dev/lib/member"
@@ -26,6 +27,7 @@
 	"bronzewinch.dev/lib/unit"
 	"bronzewinch.dev/lib/vmlist"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/dig"
 	"k8s.io/klog/v2"
 )
@@ -68,6 +70,8 @@
 	Operators *operator.Frontend
 	Burn      *burnstore.Service
 	Leaving   *leaving
+	Clock     timer.Service
+	Metrics   *metrics.Set
 }
 
 // Node is a running entry node.
@@ -134,16 +138,22 @@
 	s := n.config.Settings
 	n.components.Server.Serve(opened.peers)
 	n.callers = caller.NewServer(n.components.Callers)
-	n.serve(n.callers, opened.callers)
+	n.serve("callers", n.callers, opened.callers)
 	n.operators = &http.Server{
 		Handler: n.components.Operators, ReadTimeout: time.Duration(s.Limits.ReadTimeout),
 		IdleTimeout: time.Duration(s.Limits.IdleTimeout), MaxHeaderBytes: int(s.Limits.HeaderSize),
 	}
-	n.serve(n.operators, opened.operators)
+	n.serve("operators", n.operators, opened.operators)
 }
 
-// serve starts an HTTP server on a listener.
-func (n *Node) serve(server *http.Server, l frontListener) {
+// serve starts an HTTP server on a listener. The guard closes the connections that hold the
+// most when its clients exceed their limits.
+func (n *Node) serve(name string, server *http.Server, l frontListener) {
+	limits := n.config.Settings.Limits
+	guard := httpguard.New(httpguard.Config{Name: name, Memory: unit.Bytes(limits.ClientMemory), Connections: limits.Connections,
+		Timer: n.components.Clock, Metrics: n.components.Metrics})
+	guard.Protect(server)
+	l.Listener = guard.Listen(l.Listener)
 	server.TLSConfig = l.tls
 	n.wg.Go(func() {
 		if l.tls == nil {
--- a/lib/relay/relay.go
+++ b/lib/relay/relay.go
@@ -19,8 +19,10 @@
 	"bronzewinch.dev/lib/problem"
 	"bronzewinch.dev/lib/task"
 	"bronzewinch.dev/lib/timer"
+	"bronzewinch.dev/lib/unit"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/semaphore"
 	"k8s.io/klog/v2"
 )
 
@@ -149,6 +151,9 @@
 	Controller Controller
 	Pool       *peer.Pool
 	Server     *peer.Server
+	// CallMemory bounds what the calls of other nodes that this node processes take. Zero
+	// means that they are not bounded.
+	CallMemory unit.Bytes
 	Timer      timer.Service
 }
 
@@ -157,6 +162,7 @@
 	config Config
 	stop   context.CancelFunc
 	wg     sync.WaitGroup
+	calls  *semaphore.Weighted // bytes of the calls of other nodes, or nil
 
 	ownerHealth *dependency.Dependency
 	leaving     atomic.Bool
@@ -182,9 +188,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Relay{config: c, stop: cancel, ownerHealth: dependency.New("owner", c.Timer), seeds: c.Seeds,
 		period: minHeartbeatPeriod, peersSeen: make(map[string]time.Time), candidates: make(map[string]candidate)}
-	peer.Handle(c.Server, callMethod, func(ctx context.Context, req controller.Request) (controller.Reply, error) {
-		return c.Controller.Handle(ctx, req), nil
-	})
+	if c.CallMemory > 0 {
+		r.calls = semaphore.NewWeighted(int64(c.CallMemory))
+	}
+	peer.Handle(c.Server, callMethod, r.handleCall)
 	peer.Handle(c.Server, heartbeatMethod, r.handleHeartbeat)
 	peer.Handle(c.Server, storeProbeMethod, r.handleStoreProbe)
 	peer.Handle(c.Server, revokeOwnerMethod, r.handleRevokeOwner)
@@ -200,6 +207,31 @@
 	return r
 }
 
+const (
+	// callMemory and stepMemory are what a call and each step of its job take while it is
+	// processed.
+	callMemory = 4 * unit.KiB
+	stepMemory = 512 * unit.Bytes(1)
+)
+
+// handleCall processes a call that another node has received. All nodes together can hold
+// more calls than the owner has memory for.
+func (r *Relay) handleCall(ctx context.Context, req controller.Request) (controller.Reply, error) {
+	if r.calls != nil {
+		cost := int64(callMemory)
+		if req.Job != nil {
+			cost += int64(len(req.Job.Spec)) + int64(len(req.Job.Steps))*int64(stepMemory)
+		}
+		cost = min(cost, int64(r.config.CallMemory)) // a single call is always processed
+		if !r.calls.TryAcquire(cost) {
+			return controller.Reply{Outcome: controller.Refused, RetryAfter: retryAfter,
+				Detail: "the owner of the scheduler has no memory for further calls; retry later"}, nil
+		}
+		defer r.calls.Release(cost)
+	}
+	return r.config.Controller.Handle(ctx, req), nil
+}
+
 // Leave makes the node report that it is not ready, before it stops.
 func (r *Relay) Leave() { r.leaving.Store(true) }
 
--- a/lib/relay/relay_test.go
+++ b/lib/relay/relay_test.go
@@ -15,6 +15,7 @@
 	"bronzewinch.dev/lib/relay"
 	"bronzewinch.dev/lib/task"
 	"bronzewinch.dev/lib/timer"
+	"bronzewinch.dev/lib/unit"
 
 	"github.com/matryer/is"
 )
@@ -146,6 +147,12 @@
 }
 
 func newNode(t *testing.T, name id.Node, c relay.Controller) *node {
+	t.Helper()
+	return newNodeWithMemory(t, name, c, 0)
+}
+
+// newNodeWithMemory is like newNode, with a bound of the calls of other nodes.
+func newNodeWithMemory(t *testing.T, name id.Node, c relay.Controller, callMemory unit.Bytes) *node {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -154,7 +161,7 @@
 	n := &node{election: &fakeElection{}, address: listener.Addr().String(), server: peer.NewServer(peer.ServerConfig{})}
 	pool := peer.NewPool(peer.PoolConfig{})
 	n.Relay = relay.New(relay.Config{Node: name, Address: n.address, Election: n.election, Controller: c, Pool: pool, Server: n.server,
-		Timer: timer.NewSystem()})
+		CallMemory: callMemory, Timer: timer.NewSystem()})
 	n.server.Serve(listener)
 	t.Cleanup(func() {
 		n.Close()
@@ -231,6 +238,25 @@
 	is.True(!front.Ready())
 }
 
+// TestCallsOfOtherNodesAreBounded guards against an owner that runs out of memory because
+// the other nodes together forward more than it can hold, and against a large job that is
+// refused by an idle owner.
+func TestCallsOfOtherNodesAreBounded(t *testing.T) {
+	is := is.New(t)
+	busy := &fakeController{outcome: controller.OK, hang: make(chan struct{}), called: make(chan struct{}, 10)}
+	owner := newNodeWithMemory(t, "owner", busy, 64*unit.KiB)
+	front := newNode(t, "front", &fakeController{})
+	front.election.UpdateOwner(owner.asOwner("owner", 1))
+	large := controller.Request{Verb: controller.Submit, Job: &task.Job{Steps: make([]task.Step, 1000)}}
+	done := make(chan controller.Reply, 1)
+	go func() { done <- front.Handle(context.Background(), large) }()
+	<-busy.called
+	is.Equal(front.Handle(context.Background(), controller.Request{Verb: controller.Query}).Outcome, controller.Refused)
+	close(busy.hang)
+	is.Equal((<-done).Outcome, controller.OK)
+	is.Equal(front.Handle(context.Background(), large).Outcome, controller.OK)
+}
+
 // TestReadyFollowsOwner guards against a node that is not ready although the
 // owner serves calls, and against a node that stays ready after Leave.
 func TestReadyFollowsOwner(t *testing.T) {
--- a/lib/settings/settings.go
+++ b/lib/settings/settings.go
@@ -67,6 +67,7 @@
 	ReadTimeout      Duration `toml:"readTimeout" default:"10s" range:"100ms..10m" doc:"time in which a caller must send a whole request, half of it for the headers"`
 	IdleTimeout      Duration `toml:"idleTimeout" default:"1m" range:"1s..1h" doc:"time after which an unused connection is closed"`
 	QueueLength      int      `toml:"queueLength" default:"1024" range:"1..100000" doc:"requests that wait for a backend server"`
+	ClientMemory     Size     `toml:"clientMemory" default:"32MiB" range:"1MiB..4GiB" doc:"memory that the requests of callers, and those of operators, may take while they are read; the largest and slowest give way to others"`
 	AnswerMemory     Size     `toml:"answerMemory" default:"16MiB" range:"1MiB..4GiB" doc:"memory for answers that callers can fetch later"`
 	AnswerRetention  Duration `toml:"answerRetention" default:"10m" range:"1s..24h" doc:"time for which an answer can be fetched"`
 	ShutdownTimeout  Duration `toml:"shutdownTimeout" default:"1m" range:"1s..1h" doc:"time for requests in progress at a planned stop"`
