Learn expected run times from finished runs

Cause: one mean of run time against estimate for each queue was all that the planner expected, lost with each owner. Tasks without an estimate counted as stalled after 1.9 s.

Change: package predict keeps distributions of run times and of their ratios to the estimates, for groups from narrow to wide, and uses the one with the smaller spread. The time without progress after which a run is stopped doubles with each such stop, and is 36 s if nothing is expected. bronzewinch runtimes shows from the logs what is expected and by how much that was off.

--- a/bronzewinch/command/command.go
+++ b/bronzewinch/command/command.go
@@ -53,7 +53,7 @@
 		// Entry nodes and workers.
 		&nodesCommand{}, &workersCommand{}, &drainCommand{}, &evacuateCommand{},
 		// Reports on a deployment.
-		&auditCommand{}, &reportCommand{}, &topCommand{interval: 2 * time.Second}, &traceCommand{},
+		&auditCommand{}, &reportCommand{}, &topCommand{interval: 2 * time.Second}, &traceCommand{}, &runTimesCommand{},
 		// An example deployment in one process.
 		&demoCommand{deployment: "cooperative"},
 		&versionCommand{},
--- a/bronzewinch/command/fake_test.go
+++ b/bronzewinch/command/fake_test.go
@@ -189,6 +189,8 @@
 	const header = "I1204 14:28:08.000000 443 cycle.go:275] \"decision\" fence=1 commit=1 "
 	validLog := header + "event=\"accepted\" job=\"00aa\" attempts=2 occurrences=1 steps=\"1x1a1c1m\"\n" +
 		header + "event=\"start\" job=\"00aa\" task=\"00aa.0.0.0\" run=1 worker=\"w\"\n"
+	r.write(t, "done.log", header+"event=\"accepted\" job=\"00aa\" reason=\"q\" account=\"a\" steps=\"1x1a1c1m,est=900\"\n"+
+		header+"event=\"ended\" job=\"00aa\" task=\"00aa.0.0.0\" run=1 reason=\"done: reported by the worker\" ageMs=1000 expectedMs=900\n")
 	r.write(t, "sound.log", validLog)
 	r.write(t, "twice.log", validLog+header+"event=\"start\" job=\"00aa\" task=\"00aa.0.0.0\" run=2 worker=\"w\"\n")
 	return r
--- a/lib/controller/cycle.go
+++ b/lib/controller/cycle.go
@@ -23,6 +23,8 @@
 const (
 	jobPrefix      = "bronzewinch/job/"
 	progressPrefix = "bronzewinch/progress/"
+	// runTimesKey holds what was learned about run times.
+	runTimesKey = "bronzewinch/runtimes"
 	// lateStartPrefix is followed by the id of a worker that may carry out a start late.
 	lateStartPrefix = "bronzewinch/late/"
 )
@@ -222,6 +224,11 @@
 	}
 	// Each transaction has one condition and one write for the commit key.
 	const maxPerTxn = kv.MaxTxn - 2
+	if (len(writes)+len(removals))%maxPerTxn > 0 { // the last transaction has an entry left
+		if snapshot, ok := s.planner.RunTimesSnapshot(s.controller.config.Timer.Now()); ok {
+			writes = append(writes, kv.Write{Key: runTimesKey, Value: snapshot})
+		}
+	}
 	for len(writes)+len(removals) > 0 {
 		w := min(len(writes), maxPerTxn)
 		r := min(len(removals), maxPerTxn-w)
@@ -349,6 +356,9 @@
 	if d.Reason != "" {
 		fields = append(fields, "reason", d.Reason)
 	}
+	if d.Expected > 0 {
+		fields = append(fields, "expectedMs", d.Expected.Milliseconds())
+	}
 	fields = append(fields, d.Fields...)
 	fields = append(fields, "ageMs", d.Age.Milliseconds(), "config", s.directory.Load().config.Number, "fence", s.term.Fence,
 		"commit", s.txnNumber)
@@ -408,6 +418,13 @@
 	if err != nil {
 		return err
 	}
+	runTimes, err := readAll[cbor.RawMessage](ctx, s, runTimesKey)
+	if err != nil {
+		return err
+	}
+	for _, snapshot := range runTimes {
+		s.planner.RestoreRunTimes(snapshot)
+	}
 	now := s.controller.config.Timer.Now()
 	lastExtension := now.Add(election.OutageGrace)
 	if s.settled = s.term.Settled(); s.settled {
--- a/lib/controller/figures.go
+++ b/lib/controller/figures.go
@@ -19,6 +19,8 @@
 	// stoppedRunSeconds is how long runs had been running when they were ordered
 	// to stop.
 	stoppedRunSeconds *metrics.Histogram
+	// runTimeRatio is the ratio of run times to what was expected of them.
+	runTimeRatio *metrics.Histogram
 	// loadSeconds is how long a new owner took to load the stored state.
 	loadSeconds *metrics.Histogram
 }
@@ -29,6 +31,7 @@
 		commitSeconds:     set.GetOrCreateHistogram("bronzewinch_commit_seconds"),
 		startWaitSeconds:  set.GetOrCreateHistogram("bronzewinch_start_wait_seconds"),
 		stoppedRunSeconds: set.GetOrCreateHistogram("bronzewinch_stopped_run_seconds"),
+		runTimeRatio:      set.GetOrCreateHistogram("bronzewinch_run_time_ratio"),
 		loadSeconds:       set.GetOrCreateHistogram("bronzewinch_load_seconds"),
 	}
 }
@@ -39,6 +42,10 @@
 	switch d.Event {
 	case "start":
 		m.startWaitSeconds.Update(d.Age.Seconds())
+	case "ended":
+		if d.Expected > 0 && d.Age > 0 {
+			m.runTimeRatio.Update(d.Age.Seconds() / d.Expected.Seconds())
+		}
 	case "stop":
 		m.stoppedRunSeconds.Update(d.Age.Seconds())
 	}
--- a/lib/planner/job.go
+++ b/lib/planner/job.go
@@ -51,9 +51,13 @@
 	unseenEnds   []task.RunNumber
 	readyAt      time.Time // since when the group could start
 	startedAt    time.Time
-	lowUseSince  time.Time   // since when the group waits for a rack during low use, or zero
-	waitLoggedAt time.Time   // when it was last logged that the group waits
-	failedOn     []id.Worker // workers on which a run of the group has failed
+	remote       bool          // the run in progress is away from its data, or spread over racks
+	restored     bool          // the run in progress was found running, so its start is not known
+	expected     time.Duration // run time that was expected when the run in progress started
+	stalls       int           // runs that were stopped without progress
+	lowUseSince  time.Time     // since when the group waits for a rack during low use, or zero
+	waitLoggedAt time.Time     // when it was last logged that the group waits
+	failedOn     []id.Worker   // workers on which a run of the group has failed
 }
 
 type member struct {
@@ -324,7 +328,7 @@
 	// Earlier versions stored service tasks as done if a late report said so.
 	g.done = stored.Done && !g.step().Service
 	g.run, g.failures, g.checkpoint, g.unseenEnds = stored.Run, stored.Failures, stored.Checkpoint, stored.UnseenEnds
-	g.startedAt = now
+	g.startedAt, g.restored = now, true
 	if g.done {
 		g.occurrence.remaining--
 	}
--- a/lib/planner/plan.go
+++ b/lib/planner/plan.go
@@ -207,15 +207,6 @@
 	return longest
 }
 
-// expectedRunTime is the submitter's estimate for a task, corrected by the ratio
-// that earlier runs of the queue had to their estimates.
-func (p *Planner) expectedRunTime(j *job, s task.Step) time.Duration {
-	if r := p.runTimeRatios[j.Queue]; r != nil {
-		return r.expected(s.Estimate)
-	}
-	return s.Estimate
-}
-
 func (ps *pass) placeJob(j *job) {
 	for _, o := range j.openOccurrences {
 		for i, s := range j.Steps {
@@ -350,6 +341,7 @@
 	s := g.step()
 	g.run++
 	g.startedAt, g.stopping, g.failureCounted = ps.now, false, false
+	g.restored, g.remote, g.expected = false, g.runsRemote(targets), ps.planner.expectedRunTime(g.job, *s)
 	for i, c := range targets {
 		ps.take(c, s.Reserved())
 		m := &member{group: g, index: g.firstIndex + i, worker: c.worker, incarnation: c.Incarnation, orderedAt: ps.now,
--- a/lib/planner/planner.go
+++ b/lib/planner/planner.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"bronzewinch.dev/lib/id"
+	"bronzewinch.dev/lib/predict"
 	"bronzewinch.dev/lib/task"
 	"bronzewinch.dev/lib/unit"
 )
@@ -36,6 +37,19 @@
 	// RestoreTime is the time that a run from a checkpoint needs before it makes
 	// progress again.
 	RestoreTime time.Duration
+	// RunTimes learns and expects run times. The default learns from the runs of this
+	// planner.
+	RunTimes RunTimes
+}
+
+// RunTimes expects the run times of tasks.
+type RunTimes interface {
+	Add(predict.Run)
+	Predict(predict.Subject) predict.Prediction
+	// Learned returns the number of runs that were added.
+	Learned() uint64
+	Snapshot() ([]byte, error)
+	Restore([]byte) error
 }
 
 const (
@@ -102,6 +116,8 @@
 	Reason string
 	// Age is how long the subject of the decision has waited or run.
 	Age time.Duration
+	// Expected is the run time that was expected of a run that has ended as done, or zero.
+	Expected time.Duration
 	// Fields holds further keys and values, alternating.
 	Fields []any
 }
@@ -138,7 +154,7 @@
 	workers             map[id.Worker]*worker
 	workersByID         []*worker   // the same workers, in the order of their ids
 	candidates          []candidate // of the last pass, for reuse
-	runTimeRatios       map[task.QueueName]*runTimeRatio
+	runTimes            expectations
 	resumedAt           time.Time // when the stored state of earlier owners was restored
 	lastFirstPriorityAt time.Time // when the last job of the first priority was accepted
 	waves               map[task.WaveNumber]*wave
@@ -171,7 +187,7 @@
 func New(config Config) *Planner {
 	return &Planner{
 		config: config, jobs: make(map[id.Job]*job), workers: make(map[id.Worker]*worker),
-		runTimeRatios: make(map[task.QueueName]*runTimeRatio), dirtyJobs: make(map[id.Job]*job),
+		runTimes: newExpectations(config.RunTimes), dirtyJobs: make(map[id.Job]*job),
 		waves: make(map[task.WaveNumber]*wave), completedWaves: make(map[task.WaveNumber]bool),
 		dirtyWaves: make(map[task.WaveNumber]*wave), lateStarts: make(map[id.Worker]*lateStart),
 		evacuations: make(map[id.Zone]*evacuation), refills: make(map[id.Zone]time.Time),
--- a/lib/planner/sim_test.go
+++ b/lib/planner/sim_test.go
@@ -1,6 +1,7 @@
 package planner_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -31,7 +32,8 @@
 	gangMembers     map[string]int          // started members of each run of a gang
 	failureRate     float64                 // share of runs that fail
 	seq             task.EndSeq
-	platform        *simPlatform // nil without waves of upkeep
+	platform        *simPlatform             // nil without waves of upkeep
+	runTimes        map[id.Job]time.Duration // of jobs whose run time is not their estimate
 }
 
 type simWorker struct {
@@ -62,7 +64,15 @@
 
 func newSim(t *testing.T, seed uint64, workers int) *sim {
 	t.Helper()
-	s := &sim{t: t, planner: planner.New(simConfig), random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0),
+	return newSimWithRunTimes(t, seed, workers, nil)
+}
+
+// newSimWithRunTimes is like newSim, with another way to expect run times.
+func newSimWithRunTimes(t *testing.T, seed uint64, workers int, runTimes planner.RunTimes) *sim {
+	t.Helper()
+	config := simConfig
+	config.RunTimes = runTimes
+	s := &sim{t: t, planner: planner.New(config), random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0),
 		workers: make(map[id.Worker]*simWorker), jobs: make(map[id.Job]task.Job), startedAt: make(map[id.Job]time.Time),
 		endedAt: make(map[id.Job]time.Time), done: make(map[task.Name]bool), highestRun: make(map[task.Name]task.RunNumber),
 		lastWorker: make(map[task.Name]id.Worker), stopsByPriority: make(map[task.Priority]int), gangMembers: make(map[string]int)}
@@ -218,7 +228,7 @@
 	job := s.jobs[o.Task.Job]
 	step := job.Steps[o.Task.Step]
 	s.checkStart(w, o, job, step)
-	run := &simRun{run: o.Run, job: job, step: step, name: o.Task, endReason: task.EndDone, runTime: step.Estimate}
+	run := &simRun{run: o.Run, job: job, step: step, name: o.Task, endReason: task.EndDone, runTime: cmp.Or(s.runTimes[job.ID], step.Estimate)}
 	if s.random.Float64() < s.failureRate {
 		run.endReason = task.EndFailed
 	}
--- a/lib/planner/worker.go
+++ b/lib/planner/worker.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -39,6 +38,12 @@
 	// on a slow worker or away from its rack, so a smaller share would stop healthy
 	// runs.
 	stallShare = 0.2
+	// unknownRunTime is the run time that counts for stalls if none is expected. A run of
+	// an hour shows its first progress after 36 s.
+	unknownRunTime = 3 * time.Minute
+	// maxStallDoublings bounds the doublings of the time without progress, to about an
+	// hour for short tasks.
+	maxStallDoublings = 10
 )
 
 type worker struct {
@@ -252,14 +257,19 @@
 
 // stallTimeout is how long a run may show no progress before it is stopped. It is at
 // least the time of the work that a new start would have to repeat, so that waiting
-// costs at most twice as much as the better of waiting and starting anew.
+// costs at most twice as much as the better of waiting and starting anew. It doubles with
+// each run of the group that was stopped for it: the run may be longer than expected.
 func (p *Planner) stallTimeout(m *member) time.Duration {
 	s := m.group.step()
 	share := stallShare
 	if !s.Checkpoints {
 		share = max(share, float64(m.percent)/100)
 	}
-	return max(minStallTime, time.Duration(share*float64(p.expectedRunTime(m.group.job, *s))))
+	expected := p.expectedRunTime(m.group.job, *s)
+	if expected == 0 {
+		expected = unknownRunTime
+	}
+	return max(minStallTime, time.Duration(share*float64(expected))) << min(m.group.stalls, maxStallDoublings)
 }
 
 // handleActiveRun records the progress of a run. It stops a run that has no record,
@@ -292,6 +302,7 @@
 	if !m.stopRequested && asOf.Sub(m.progressedAt) > p.stallTimeout(m) && a.Percent < 100 && g.step().ProgressesSteadily() {
 		w.barredUntil = now.Add(barDuration)
 		g.failedOn = append(g.failedOn, w.ID)
+		g.stalls++
 		p.stopGroup(now, g, "the run makes no progress")
 	}
 }
@@ -396,14 +407,18 @@
 	}
 	g.members = slices.DeleteFunc(g.members, func(other *member) bool { return other == m })
 	p.markDirty(j)
-	p.logDecision(Decision{Event: "ended", Job: j.ID, Task: m.taskName(), Run: g.run, Worker: m.worker.ID,
-		Reason: string(endReason) + ": " + reason, Age: now.Sub(g.startedAt), Fields: []any{"incarnation", m.incarnation}})
+	d := Decision{Event: "ended", Job: j.ID, Task: m.taskName(), Run: g.run, Worker: m.worker.ID,
+		Reason: string(endReason) + ": " + reason, Age: now.Sub(g.startedAt), Fields: []any{"incarnation", m.incarnation}}
+	if endReason == task.EndDone {
+		d.Expected = g.expected
+	}
+	p.logDecision(d)
 	if checkpoint != "" {
 		g.checkpoint = checkpoint
 	}
 	if endReason == task.EndDone && !g.step().Service {
 		if !g.done {
-			p.recordRunTime(now, g, m)
+			p.learnRunTime(now, g, m)
 		}
 		p.completeGroup(now, g)
 	}
@@ -500,6 +515,7 @@
 // expired, repeats unanswered orders to stop, advances the waves and evacuations, and
 // removes jobs that ended longer than Config.Retention ago.
 func (p *Planner) Tick(now time.Time) {
+	p.runTimes.refresh(now)
 	for _, j := range p.activeJobs {
 		p.openDueOccurrences(now, j)
 	}
@@ -549,37 +565,3 @@
 	restarted := m.worker.Incarnation != 0 && m.incarnation != m.worker.Incarnation
 	return restarted && !now.After(p.config.LeaseExpiry(m.orderedAt.Add(MaxCallDelay)))
 }
-
-// runTimeRatio is the moving geometric mean of the ratios between the run times of a
-// queue and the submitters' estimates. Estimates are wrong by factors, so an arithmetic
-// mean would be dominated by the few that are far too low.
-type runTimeRatio struct {
-	logRatio float64
-	runs     int
-}
-
-// minSampleWeight is the least weight of the newest run in the mean.
-const minSampleWeight = 0.1
-
-// expected returns the expected run time for a submitter's estimate.
-func (r *runTimeRatio) expected(submitted time.Duration) time.Duration {
-	return time.Duration(math.Exp(r.logRatio) * float64(submitted))
-}
-
-// recordRunTime adds a completed run to the run-time ratio of its queue. It leaves out
-// runs whose duration can't be compared with an estimate: those without an estimate,
-// runs of best-effort tasks, and runs from a checkpoint.
-func (p *Planner) recordRunTime(now time.Time, g *group, m *member) {
-	s := g.step()
-	if s.Estimate <= 0 || s.BestEffort || g.checkpoint != "" || !now.After(m.orderedAt) {
-		return
-	}
-	r := p.runTimeRatios[g.job.Queue]
-	if r == nil {
-		r = &runTimeRatio{}
-		p.runTimeRatios[g.job.Queue] = r
-	}
-	ratio := float64(now.Sub(m.orderedAt)) / float64(s.Estimate)
-	r.runs++
-	r.logRatio += max(minSampleWeight, 1/float64(r.runs+1)) * (math.Log(ratio) - r.logRatio)
-}
--- a/lib/task/outline.go
+++ b/lib/task/outline.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 
 	"bronzewinch.dev/lib/problem"
 	"bronzewinch.dev/lib/unit"
@@ -26,8 +27,9 @@
 }
 
 // FormatSteps formats the steps of a job for a log line, such as
-// "4x8a13000c38912m,gang 20x1a2800c11264m,after=0": the number of tasks of each step,
-// the resources that each task reserves, and those properties that the log audit checks.
+// "4x8a13000c38912m,gang 20x1a2800c11264m,est=900,after=0": the number of tasks of each step,
+// the resources that each task reserves, those properties that the log audit checks, and
+// the estimate in milliseconds.
 func FormatSteps(steps []Step) string {
 	var words []string
 	for _, s := range steps {
@@ -38,6 +40,9 @@
 		if s.Service {
 			word += ",serves"
 		}
+		if s.Estimate > 0 {
+			word += ",est=" + strconv.FormatInt(s.Estimate.Milliseconds(), 10)
+		}
 		for _, a := range s.After {
 			word += ",after=" + strconv.Itoa(a)
 		}
@@ -64,6 +69,10 @@
 				s.Gang = true
 			case "serves":
 				s.Service = true
+			case "est":
+				var ms int64
+				ms, err = strconv.ParseInt(value, 10, 64)
+				s.Estimate = time.Duration(ms) * time.Millisecond
 			case "after":
 				var before int
 				if before, err = strconv.Atoi(value); err == nil {
--- a/lib/task/outline_test.go
+++ b/lib/task/outline_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"bronzewinch.dev/lib/task"
 	"bronzewinch.dev/lib/unit"
@@ -21,11 +22,11 @@
 func TestFormatSteps(t *testing.T) {
 	is := is.New(t)
 	steps := []task.Step{{Tasks: 4, Demand: unit.Resources{Accelerators: 8, Cores: 500, Memory: unit.GiB}, Gang: true},
-		{Tasks: 1, Service: true, After: []int{0}}, {Tasks: 30, Demand: unit.Resources{Cores: 1}, After: []int{0, 1}}}
+		{Tasks: 1, Service: true, Estimate: 1500 * time.Millisecond, After: []int{0}}, {Tasks: 30, Demand: unit.Resources{Cores: 1}, After: []int{0, 1}}}
 	got, err := task.ParseSteps(task.FormatSteps(steps))
 	is.NoErr(err)
 	is.Equal(got, steps)
-	for _, text := range []string{"4", "x8a1c1m", "4x8a", "4x8a1c1m,after=", "4x8a1c1m,after=b"} {
+	for _, text := range []string{"4", "x8a1c1m", "4x8a", "4x8a1c1m,after=", "4x8a1c1m,est=", "4x8a1c1m,after=b"} {
 		if _, err := task.ParseSteps(text); err == nil {
 			t.Errorf("invalid steps %q were accepted", text)
 		}
