--- a/lib/planner/job.go
+++ b/lib/planner/job.go
@@ -155,6 +155,20 @@
 
 func (j *job) occurrenceCount() int { return max(1, j.Occurrences) }
 
+// maxOpenTasks bounds the tasks of the open occurrences of a job, as its progress is one
+// record: each task that is placed takes up to 38 bytes of the 1 MB that the store allows.
+// Later occurrences open when earlier ones are complete.
+const maxOpenTasks = 20000
+
+// tasks returns the number of tasks of one occurrence.
+func (j *job) tasks() int {
+	n := 0
+	for _, s := range j.Steps {
+		n += s.Tasks
+	}
+	return n
+}
+
 // openDueOccurrences opens the occurrences of a job that are due.
 func (p *Planner) openDueOccurrences(now time.Time, j *job) {
 	for j.nextOccurrence < j.occurrenceCount() {
@@ -162,7 +176,7 @@
 		if j.Occurrences > 0 {
 			due = j.First.Add(time.Duration(j.nextOccurrence) * j.Interval)
 		}
-		if due.After(now) {
+		if due.After(now) || len(j.openOccurrences) > 0 && (len(j.openOccurrences)+1)*j.tasks() > maxOpenTasks {
 			return
 		}
 		j.openOccurrences = append(j.openOccurrences, newOccurrence(j, j.nextOccurrence, due))
--- a/lib/planner/plan.go
+++ b/lib/planner/plan.go
@@ -410,12 +410,20 @@
 func (ps *pass) remoteWait(g *group) time.Duration {
 	config := ps.planner.config
 	wait := time.Duration((config.RemoteFactor - 1) * float64(ps.planner.expectedRunTime(g.job, *g.step())))
+	if g.step().Service {
+		// It has no run time that a wait could save.
+		wait = serviceRemoteWait
+	}
 	if ps.guaranteed[g.job] {
 		wait = min(wait, config.MaxGuaranteedWait-config.MaxStopTime-remoteStartMargin)
 	}
 	return wait
 }
 
+// serviceRemoteWait is how long a service task waits for a rack. The platform requires that
+// it runs again six seconds after its last run, of which reports and a preemption need some.
+const serviceRemoteWait = time.Second
+
 const (
 	// lowUseWait is how long a job without runs waits for a rack while most of the
 	// capacity of its service is free. The platform requires its start within three
--- a/lib/planner/wave.go
+++ b/lib/planner/wave.go
@@ -61,7 +61,10 @@
 type wave struct {
 	task.Wave
 	firstSeen time.Time
-	vms       map[id.VM]*vmUpkeep
+	// listed means that the list of VMs was read after the wave was first seen. An older
+	// list lacks VMs that were added since.
+	listed bool
+	vms    map[id.VM]*vmUpkeep
 }
 
 // vmUpkeep is one VM of a wave.
@@ -128,7 +131,8 @@
 		p.completedWaves[stored.Number] = true
 		return
 	}
-	w := &wave{Wave: task.Wave{Number: stored.Number}, firstSeen: stored.FirstSeen, vms: make(map[id.VM]*vmUpkeep)}
+	// A new owner has no list yet. FirstSeen is of the clock of another node.
+	w := &wave{Wave: task.Wave{Number: stored.Number}, firstSeen: stored.FirstSeen, listed: true, vms: make(map[id.VM]*vmUpkeep)}
 	for _, name := range stored.Ordered {
 		w.vms[name] = &vmUpkeep{phase: phaseOrdered, unconfirmed: true}
 	}
@@ -145,6 +149,7 @@
 		p.vms[v.Name] = &v
 	}
 	for _, w := range p.waves {
+		w.listed = w.listed || !sent.Before(w.firstSeen)
 		for name, u := range w.vms {
 			if u.phase == phaseOrdered && !u.begunAt.IsZero() && sent.After(u.begunAt) {
 				p.checkUpkeep(now, w, name, u)
@@ -250,6 +255,9 @@
 	}
 	for _, n := range slices.Sorted(maps.Keys(p.waves)) {
 		w := p.waves[n]
+		if !w.listed {
+			continue
+		}
 		p.advanceWave(now, w)
 		if w.isFinished() {
 			p.logWave(n, "completed", now.Sub(w.firstSeen))
--- a/lib/planner/wave_test.go
+++ b/lib/planner/wave_test.go
@@ -304,6 +304,25 @@
 	is.True(!s.planner.HasOpenWaves())
 }
 
+// TestVMAddedBeforeWave guards against a wave that is completed without the upkeep of a VM that
+// was added after the last list of VMs was read.
+func TestVMAddedBeforeWave(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, 2)
+	list := []task.VM{{Name: vmName(0), Up: true, Worker: "w-00"}}
+	s.planner.UpdateVMs(s.now, s.now, list) // for an earlier wave
+	s.now = s.now.Add(time.Minute)
+	s.planner.AddWave(s.now, task.Wave{Number: firstWave, VMs: []id.VM{vmName(1)}, MaxDown: 1})
+	s.planner.Tick(s.now)
+	is.True(s.planner.HasOpenWaves())
+	s.planner.UpdateVMs(s.now, s.now.Add(-time.Second), list) // requested before the wave
+	s.planner.Tick(s.now)
+	is.True(s.planner.HasOpenWaves())
+	s.planner.UpdateVMs(s.now, s.now, append(list, task.VM{Name: vmName(1), Up: true, Worker: "w-01"}))
+	s.planner.Tick(s.now)
+	is.Equal(len(s.planner.TakeChanges().UpkeepOrders), 1)
+}
+
 // TestWorkerKeepsItsIDAfterUpkeep guards against a worker that gets no work after its
 // upkeep because it has restarted under the same id, and the last list of VMs did not
 // contain it yet.
--- a/lib/planner/worker.go
+++ b/lib/planner/worker.go
@@ -360,7 +360,9 @@
 	case task.EndDone:
 		w.failedJobs = nil
 	case task.EndFailed:
-		p.countFailure(now, w, e.Task.Job)
+		if !m.group.step().Service || m.percent < 100 { // a service task may fail at any time, once it is at work
+			p.countFailure(now, w, e.Task.Job)
+		}
 		m.group.failedOn = append(m.group.failedOn, w.ID)
 	}
 	m.group.noteGangEnd(now, e.Reason)
