Store whether a job has started

Cause: a new owner took a job as started if a run had been ordered, so jobs whose starts were all rejected were missing from pending_jobs (a finding of the review).

Change: the progress of a job says whether a task has started.

--- a/lib/planner/job.go
+++ b/lib/planner/job.go
@@ -13,6 +13,7 @@
 type job struct {
 	task.Job
 	queue           task.Queue
+	work            float64    // demand of all tasks of an occurrence, in weighted cores
 	state           task.State // empty until the job has ended
 	endedAt         time.Time
 	started         bool
@@ -270,7 +271,7 @@
 
 // progress returns the state of a job to store.
 func (j *job) progress() task.Progress {
-	p := task.Progress{Job: j.ID, State: j.state, Ended: j.endedAt}
+	p := task.Progress{Job: j.ID, State: j.state, Ended: j.endedAt, Started: j.started}
 	open := make(map[int]*occurrence, len(j.openOccurrences))
 	for _, o := range j.openOccurrences {
 		open[o.number] = o
@@ -308,7 +309,7 @@
 	if !ok {
 		q = t.Admitted
 	}
-	j := &job{Job: t, queue: q, state: stored.State, endedAt: stored.Ended}
+	j := &job{Job: t, queue: q, state: stored.State, endedAt: stored.Ended, started: stored.Started}
 	p.jobs[t.ID] = j
 	if !j.state.Ended() {
 		p.activeJobs = append(p.activeJobs, j)
@@ -346,7 +347,7 @@
 	if g.done {
 		g.occurrence.remaining--
 	}
-	g.job.started = g.job.started || stored.Run > 0
+	g.job.started = g.job.started || g.done || len(stored.Placements) > 0
 	for _, placement := range stored.Placements {
 		w := p.ensureWorker(placement.Worker)
 		w.restoredLeaseExpiry = leaseExpiry
--- a/lib/planner/life_test.go
+++ b/lib/planner/life_test.go
@@ -280,3 +280,37 @@
 	is.Equal(countOrders(orders, planner.Start), 2)
 	is.Equal(orders[0].Run, task.RunNumber(2))
 }
+
+// TestRejectedStartsAreNotBegun guards against a new owner that takes a job as running whose
+// starts were all rejected, and against one that takes a job as pending that has run.
+func TestRejectedStartsAreNotBegun(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		result planner.OrderResult
+		want   task.State
+	}{{"rejected", planner.Rejected, task.Pending}, {"accepted and stopped", planner.Accepted, task.Running}} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSim(t, 1, 2)
+			j := singleStepJob(1, task.Step{Tasks: 1})
+			s.submit(j, 1)
+			s.planner.Plan(s.now)
+			changes := s.planner.TakeChanges()
+			o := changes.Orders[0]
+			s.planner.HandleOrderResult(s.now, o, test.result)
+			if test.result == planner.Accepted {
+				s.planner.HandleReport(s.now, s.now, task.Report{Worker: o.Worker, Incarnation: 1,
+					Ends: []task.EndedRun{{Seq: 1, Task: o.Task, Run: o.Run, Reason: task.EndStopped}}})
+			}
+			stored := s.planner.TakeChanges().Progress
+			is.Equal(len(stored), 1)
+			next := newSim(t, 1, 2)
+			next.planner.Restore(next.now, next.now, changes.Jobs[0], stored[0])
+			next.planner.Resume(next.now)
+			status, ok := next.planner.Status(j.ID)
+			is.True(ok)
+			is.Equal(status.State, test.want)
+			is.Equal(len(next.planner.PendingJobs()) == 0, test.want == task.Running)
+		})
+	}
+}
--- a/lib/task/record.go
+++ b/lib/task/record.go
@@ -13,7 +13,10 @@
 	// State is empty until the job has ended.
 	State State `cbor:"state,omitempty"`
 	// Ended is the time at which the job reached its final state.
-	Ended       time.Time            `cbor:"ended,omitzero"`
+	Ended time.Time `cbor:"ended,omitzero"`
+	// Started means that a task had started when the record was written. Runs of which all
+	// starts were rejected don't count.
+	Started     bool                 `cbor:"started,omitempty"`
 	Occurrences []OccurrenceProgress `cbor:"occurrences,omitempty"`
 }
 
