Place jobs within the share of their account before those beyond it

Cause: within a priority, jobs were ordered by deadline alone, so an account that submits many times its share took the room from all others.

Change: jobs beyond the share of their account go after those within it.

--- a/lib/planner/job.go
+++ b/lib/planner/job.go
@@ -120,6 +120,7 @@
 	}
 	t.Accepted, t.Admitted = now, q
 	j := &job{Job: t, queue: q}
+	j.work = j.workOf()
 	p.jobs[t.ID] = j
 	p.activeJobs = append(p.activeJobs, j)
 	p.newJobs = append(p.newJobs, t)
@@ -310,6 +311,7 @@
 		q = t.Admitted
 	}
 	j := &job{Job: t, queue: q, state: stored.State, endedAt: stored.Ended, started: stored.Started}
+	j.work = j.workOf()
 	p.jobs[t.ID] = j
 	if !j.state.Ended() {
 		p.activeJobs = append(p.activeJobs, j)
--- a/lib/planner/plan.go
+++ b/lib/planner/plan.go
@@ -150,12 +150,14 @@
 
 // jobOrder returns the jobs in the order in which they are placed: guaranteed jobs
 // in order of acceptance, then the others by priority. Within a priority, jobs with
-// service tasks go first, then jobs that can still meet their objective, then the
-// rest, each by deadline: under overload a job that is late anyway loses less by waiting.
+// service tasks go first, then jobs within the share of their account, then the others.
+// Of these, jobs that can still meet their objective go before the rest, each by deadline:
+// under overload a job that is late anyway loses less by waiting.
 func (ps *pass) jobOrder() []*job {
 	type ranked struct {
 		j        *job
 		class    int
+		beyond   int // 1 when the job is beyond the share of its account
 		lateness int // 1 when the objective can't be met any more, -1 for jobs with service tasks
 		deadline time.Time
 	}
@@ -172,10 +174,20 @@
 		}
 		all = append(all, k)
 	}
+	slices.SortStableFunc(all, func(a, b ranked) int { return a.deadline.Compare(b.deadline) })
+	jobs := make([]*job, len(all))
+	for i, k := range all {
+		jobs[i] = k.j
+	}
+	beyond := ps.beyondShare(jobs)
+	for i := range all {
+		if beyond[all[i].j] && all[i].class > 0 {
+			all[i].beyond = 1
+		}
+	}
 	slices.SortStableFunc(all, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.lateness, b.lateness), a.deadline.Compare(b.deadline))
+		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.beyond, b.beyond), cmp.Compare(a.lateness, b.lateness))
 	})
-	jobs := make([]*job, len(all))
 	for i, k := range all {
 		jobs[i] = k.j
 	}
