Check configurations of the cooperative platform before they are sent

Cause: the store accepts routes that no call reaches and guarantees above the capacity; bronzewinch check knew the product's own records only.

Change: bronzewinch check -platform decodes a configuration with the lines of its entries and finds mistakes, entries that never match, limits that contradict each other, and with -against what differs from another one. Package configcheck decides; platform decodes.

--- a/bronzewinch/command/fake_test.go
+++ b/bronzewinch/command/fake_test.go
@@ -189,6 +189,11 @@
 	const header = "I1204 14:28:08.000000 443 cycle.go:275] \"decision\" fence=1 commit=1 "
 	validLog := header + "event=\"accepted\" job=\"00aa\" attempts=2 occurrences=1 steps=\"1x1a1c1m\"\n" +
 		header + "event=\"start\" job=\"00aa\" task=\"00aa.0.0.0\" run=1 worker=\"w\"\n"
+	const config = "{\"version\":%d,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"prefix\":\"/r/\",\"service\":\"s\",\"attempts\":%d,\"slack_factor\":2}]," +
+		"\"services\":[{\"name\":\"s\"}],\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k\"]}]}"
+	r.write(t, "platform.json", fmt.Sprintf(config, 7, 4))
+	r.write(t, "platform-bad.json", fmt.Sprintf(config, 8, 0))
+	r.write(t, "workers.json", "{}")
 	r.write(t, "done.log", header+"event=\"accepted\" job=\"00aa\" reason=\"q\" account=\"a\" steps=\"1x1a1c1m,est=900\"\n"+
 		header+"event=\"ended\" job=\"00aa\" task=\"00aa.0.0.0\" run=1 reason=\"done: reported by the worker\" ageMs=1000 expectedMs=900\n")
 	r.write(t, "sound.log", validLog)
--- a/bronzewinch/command/records.go
+++ b/bronzewinch/command/records.go
@@ -182,19 +182,30 @@
 type checkCommand struct {
 	changeFlags
 	offline bool
+	// platform, against and workers are files of the cooperative platform.
+	platform, against, workers string
 }
 
 func (*checkCommand) Info() Info {
 	return Info{Name: "check", Args: "FILE...", Summary: "Check records as apply does, without applying them.", MaxArgs: -1,
-		Example: "bronzewinch check examples/cooperative/records\nbronzewinch check -offline examples/cooperative/records"}
+		Example: "bronzewinch check examples/cooperative/records\nbronzewinch check -offline examples/cooperative/records\nbronzewinch check -platform next.json -against now.json"}
 }
 
 func (c *checkCommand) Flags(sub *flaggy.Subcommand) {
 	c.register(sub)
 	sub.Bool(&c.offline, "", "offline", "check the files as one complete configuration, without a node; capacity is not checked")
+	sub.String(&c.platform, "", "platform", "check this configuration of the cooperative platform (JSON) in place of records, without a node")
+	sub.String(&c.against, "", "against", "with -platform: the configuration in force; shows what differs")
+	sub.String(&c.workers, "", "workers", "with -platform: the workers (JSON, list entries by id); checks the capacity")
 }
 
 func (c *checkCommand) Run(ctx context.Context, e *Env) error {
+	if c.platform != "" {
+		return c.checkConfig(e)
+	}
+	if c.against != "" || c.workers != "" {
+		return newUsageError("against", c.against+c.workers, "given with -platform", "use `bronzewinch diff` for records")
+	}
 	req, err := c.request(e.Args)
 	if err != nil {
 		return err
