--- a/lib/controller/controller.go
+++ b/lib/controller/controller.go
@@ -290,8 +290,8 @@
 
 func (s *session) query(c call) Reply {
 	status, ok := s.jobs.Get(c.job)
-	if !ok || status.Queue != c.route.Name {
-		return Reply{Outcome: NoJob, Detail: "no job of this queue has this id; check the id"}
+	if !ok || !c.permits(status) {
+		return noJob
 	}
 	return Reply{Outcome: OK, State: status.State}
 }
--- a/lib/controller/controller_test.go
+++ b/lib/controller/controller_test.go
@@ -57,6 +57,22 @@
 	}
 }
 
+// TestAccountsSeeTheirOwnJobs guards against an account that sees or cancels a job of
+// another account of the same queue.
+func TestAccountsSeeTheirOwnJobs(t *testing.T) {
+	is := is.New(t)
+	c := serve(t, newFakeStore(), newFakeWorkers())
+	is.Equal(c.submit(jobA).Outcome, controller.OK)
+	for _, verb := range []controller.Verb{controller.Query, controller.Cancel} {
+		r := controller.Request{Verb: verb, Host: testHost, Path: "/q/" + jobA, Key: otherKey}
+		is.Equal(c.Handle(t.Context(), r).Outcome, controller.NoJob)
+	}
+	c.workers.await(t, "the start", func() bool { return len(c.workers.started) == 1 })
+	c.workers.finish("worker")
+	c.workers.await(t, "the acknowledgement", func() bool { return c.workers.acked == 1 })
+	is.Equal(c.query(jobA).State, task.Completed) // not cancelled by the other account
+}
+
 // TestLostStoreReply guards against a job that is refused or stored twice
 // because the store's reply to its transaction was lost.
 func TestLostStoreReply(t *testing.T) {
--- a/lib/controller/cycle.go
+++ b/lib/controller/cycle.go
@@ -132,8 +132,8 @@
 }
 
 func (s *session) cancel(now time.Time, c call) Reply {
-	if status, ok := s.planner.Status(c.job); !ok || status.Queue != c.route.Name {
-		return Reply{Outcome: NoJob, Detail: "no job of this queue has this id; check the id"}
+	if status, ok := s.planner.Status(c.job); !ok || !c.permits(status) {
+		return noJob
 	}
 	if err := s.planner.Cancel(now, c.job); err != nil {
 		return Reply{Outcome: NoJob, Detail: err.Error()}
--- a/lib/controller/fake_test.go
+++ b/lib/controller/fake_test.go
@@ -161,6 +161,7 @@
 
 const (
 	testKey   = "key"
+	otherKey  = "other key"
 	testHost  = "host.example"
 	testQueue = "queue"
 )
@@ -173,7 +174,8 @@
 	return controller.Update{Version: 1, Evacuations: evacuations, Config: &controller.Configuration{Number: 1, Version: 1,
 		Routes: []controller.Route{{Host: testHost, Prefix: "/q/", Queue: task.Queue{Name: testQueue, Service: "service",
 			Attempts: 2, Slack: 2, Target: time.Second}}},
-		Accounts: []controller.Account{{Name: "account", Keys: []string{cmp.Or(l.key, testKey), ""}, Guaranteed: 16}}}}, nil
+		Accounts: []controller.Account{{Name: "account", Keys: []string{cmp.Or(l.key, testKey), ""}, Guaranteed: 16},
+			{Name: "other account", Keys: []string{otherKey}}}}}, nil
 }
 
 func (l fakeLists) ReadWorkers(context.Context) (controller.Update, error) {
--- a/lib/controller/request.go
+++ b/lib/controller/request.go
@@ -14,6 +14,7 @@
 
 	"bronzewinch.dev/lib/id"
 	"bronzewinch.dev/lib/kv"
+	"bronzewinch.dev/lib/planner"
 	"bronzewinch.dev/lib/task"
 	"bronzewinch.dev/lib/unit"
 )
@@ -166,6 +167,17 @@
 	job     id.Job
 }
 
+// noJob is also the reply about a job of another account, which must not learn that
+// the job exists.
+var noJob = Reply{Outcome: NoJob, Detail: "no job of this queue has this id; check the id"}
+
+// permits reports whether the caller may see and cancel a job: one of the queue that it
+// calls, and of its own account. Callers of public routes, and jobs submitted without a
+// key, have no account to compare.
+func (c call) permits(j planner.Status) bool {
+	return j.Queue == c.route.Name && (c.route.Public || j.Account == "" || j.Account == c.account)
+}
+
 // finalReply is the error with which a stage ends the processing of a call. It
 // carries the reply.
 type finalReply struct{ reply Reply }
