--- a/lib/planner/claim.go
+++ b/lib/planner/claim.go
@@ -79,6 +79,11 @@
 				}
 			}
 		}
+		if slices.ContainsFunc(next.groups, func(v *group) bool { return v.step().Service }) {
+			for _, other := range candidates { // their steps may have no more tasks unavailable
+				other.trial.nextKnown = false
+			}
+		}
 		c.trial.free = c.trial.free.Minus(g.step().Reserved())
 		c.trial.placed++
 		c.trial.nextKnown = false
@@ -141,6 +146,9 @@
 		if demand.Fits(free) {
 			break
 		}
+		if o.group.step().Service && !ps.planner.disruptionAllowed(ps.now, o.group, slices.Concat(chosen, found.groups)...) {
+			continue
+		}
 		free = free.Plus(o.group.step().Reserved().Times(o.members))
 		found.groups, found.cost = append(found.groups, o.group), found.cost+o.loss
 	}
@@ -150,13 +158,13 @@
 
 // isPreemptible reports whether group v may be stopped for group g. Service tasks
 // preempt work that can be repeated. They are stopped themselves only for a
-// guaranteed job, and only while their step may have one more task unavailable.
+// guaranteed job, and as far as disruptionAllowed.
 func (ps *pass) isPreemptible(g, v *group) bool {
 	switch {
 	case ps.guaranteed[v.job]:
 		return false
 	case v.step().Service:
-		return ps.guaranteed[g.job] && ps.planner.disruptionAllowed(ps.now, v)
+		return ps.guaranteed[g.job]
 	case ps.guaranteed[g.job] || v.job.queue.Priority > g.job.queue.Priority:
 		return true
 	}
@@ -164,15 +172,16 @@
 }
 
 // disruptionAllowed reports whether one more task of a group's step may become
-// unavailable. Tasks that are already stopping count as unavailable.
-func (p *Planner) disruptionAllowed(now time.Time, g *group) bool {
+// unavailable. Tasks that are already stopping, and those of groups chosen to stop with
+// it, count as unavailable.
+func (p *Planner) disruptionAllowed(now time.Time, g *group, chosen ...*group) bool {
 	s := g.step()
 	if s.MaxUnavailable == 0 {
 		return true
 	}
 	unavailable := 0
 	for _, other := range g.occurrence.steps[g.stepIndex] {
-		if other != g && !other.isAvailable(now) {
+		if other != g && (!other.isAvailable(now) || slices.Contains(chosen, other)) {
 			unavailable++
 		}
 	}
--- a/lib/planner/claim_test.go
+++ b/lib/planner/claim_test.go
@@ -172,6 +172,22 @@
 	is.Equal(status.State, task.Running)
 }
 
+// TestGangPreemptsWithinMaxUnavailable guards against a guaranteed gang that stops more
+// tasks of a service step at once than may be unavailable.
+func TestGangPreemptsWithinMaxUnavailable(t *testing.T) {
+	is := is.New(t)
+	s := newGuaranteeSim(t, 2, 16)
+	service := singleStepJob(1, task.Step{Tasks: 2, MaxPerWorker: 1, Service: true, MaxUnavailable: 1,
+		Demand: unit.Resources{Accelerators: 4, Cores: unit.Core}})
+	for _, o := range submitAndPlan(s, service, 1) {
+		s.planner.HandleReport(s.now, s.now, task.Report{Worker: o.Worker, Incarnation: 1,
+			Active: []task.ActiveRun{{Task: o.Task, Run: o.Run, Percent: 100}}})
+	}
+	gang := singleStepJob(2, task.Step{Tasks: 2, Gang: true, Demand: unit.Resources{Accelerators: 8, Cores: unit.Core}})
+	gang.Account = "a"
+	is.Equal(countOrders(submitAndPlan(s, gang, 0), planner.Stop), 0) // both tasks would have to stop
+}
+
 // TestTaskOnSilentWorkerIsUnavailable guards against a stop that makes a second task of a
 // service step unavailable, while the first one may be lost with a worker that is silent.
 func TestTaskOnSilentWorkerIsUnavailable(t *testing.T) {
--- a/lib/planner/wave.go
+++ b/lib/planner/wave.go
@@ -71,6 +71,7 @@
 type vmUpkeep struct {
 	phase         phase
 	drainingSince time.Time
+	worker        id.Worker // when its upkeep was ordered
 	orderedAt     time.Time // when the last order was issued
 	begunAt       time.Time // when the platform confirmed that the upkeep has begun
 	unconfirmed   bool      // an order was not answered and may still take effect
@@ -134,7 +135,7 @@
 	// A new owner has no list yet. FirstSeen is of the clock of another node.
 	w := &wave{Wave: task.Wave{Number: stored.Number}, firstSeen: stored.FirstSeen, listed: true, vms: make(map[id.VM]*vmUpkeep)}
 	for _, name := range stored.Ordered {
-		w.vms[name] = &vmUpkeep{phase: phaseOrdered, unconfirmed: true}
+		w.vms[name] = &vmUpkeep{phase: phaseOrdered, unconfirmed: true, worker: stored.Workers[name]}
 	}
 	for _, name := range stored.Finished {
 		w.vms[name] = &vmUpkeep{phase: phaseFinished}
@@ -226,6 +227,12 @@
 		switch u.phase {
 		case phaseOrdered:
 			p.Ordered = append(p.Ordered, name)
+			if u.worker != "" {
+				if p.Workers == nil {
+					p.Workers = make(map[id.VM]id.Worker)
+				}
+				p.Workers[name] = u.worker
+			}
 		case phaseFinished:
 			p.Finished = append(p.Finished, name)
 		}
@@ -251,7 +258,8 @@
 // each wave allow.
 func (p *Planner) advanceWaves(now time.Time) {
 	if p.vms == nil || now.Sub(p.resumedAt) < p.config.HandoverPause+handoverSlack {
-		return // orders of an earlier owner may still be in flight
+		p.markReservedWorkers() // an order of an earlier owner may end what starts there
+		return                  // orders of an earlier owner may still be in flight
 	}
 	for _, n := range slices.Sorted(maps.Keys(p.waves)) {
 		w := p.waves[n]
@@ -276,15 +284,22 @@
 		u := w.vms[name]
 		switch u.phase {
 		case phaseDraining:
-			p.drainVM(now, name)
-			if w.countPhase(phaseOrdered) < w.MaxDown && now.Sub(u.orderedAt) >= upkeepRetryInterval &&
+			mayFollow := w.countPhase(phaseOrdered) < w.MaxDown
+			p.drainVM(now, name, mayFollow)
+			if mayFollow && now.Sub(u.orderedAt) >= upkeepRetryInterval &&
 				p.isDrained(name, now.Sub(u.drainingSince) >= timeout) {
-				u.phase = phaseOrdered
+				u.phase, u.worker = phaseOrdered, p.vms[name].Worker
 				p.markWaveDirty(w)
 				p.enqueueUpkeepOrder(now, w, name, u)
 			}
 		case phaseOrdered:
-			if u.begunAt.IsZero() && now.Sub(u.orderedAt) >= upkeepRetryInterval {
+			if !u.begunAt.IsZero() || now.Sub(u.orderedAt) < upkeepRetryInterval {
+				continue
+			}
+			if p.vms[name] != nil {
+				p.drainVM(now, name, true)
+			}
+			if p.vms[name] == nil || p.isDrained(name, true) {
 				p.enqueueUpkeepOrder(now, w, name, u)
 			}
 		}
@@ -345,8 +360,14 @@
 	reserved := make(map[id.Worker]id.VM)
 	for _, w := range p.waves {
 		for name, u := range w.vms {
-			if v := p.vms[name]; v != nil && v.Worker != "" && (u.phase == phaseDraining || u.phase == phaseOrdered) {
+			if u.phase != phaseDraining && u.phase != phaseOrdered {
+				continue
+			}
+			switch v := p.vms[name]; {
+			case v != nil && v.Worker != "":
 				reserved[v.Worker] = name
+			case p.vms == nil && u.worker != "":
+				reserved[u.worker] = name
 			}
 		}
 	}
@@ -362,15 +383,19 @@
 
 // drainVM stops those runs on a VM that lose no work by it, so that they start
 // elsewhere. Service tasks are stopped only while their step may have one more task
-// unavailable.
-func (p *Planner) drainVM(now time.Time, name id.VM) {
+// unavailable. Those without such a limit may be able to run nowhere else: they are
+// stopped last, when the upkeep may follow.
+func (p *Planner) drainVM(now time.Time, name id.VM, mayFollow bool) {
 	w := p.workers[p.vms[name].Worker]
 	if w == nil {
 		return
 	}
+	isLast := func(m *member) bool { return m.group.step().Service && m.group.step().MaxUnavailable == 0 }
+	last := mayFollow && !slices.ContainsFunc(w.members, func(m *member) bool { return !isLast(m) })
 	for _, m := range slices.Clone(w.members) {
 		s := m.group.step()
-		if s.Gang || m.stopRequested || s.Service && !p.disruptionAllowed(now, m.group) || !s.Service && !s.Checkpoints {
+		if s.Gang || m.stopRequested || s.Service && !p.disruptionAllowed(now, m.group) || !s.Service && !s.Checkpoints ||
+			isLast(m) && !last {
 			continue
 		}
 		p.stopGroup(now, m.group, "the VM is drained for its upkeep")
--- a/lib/planner/wave_test.go
+++ b/lib/planner/wave_test.go
@@ -194,6 +194,25 @@
 	is.True(p.progress.Completed)
 }
 
+// TestWaveStopsServiceTaskLast guards against a service task that is stopped for an
+// upkeep long before it begins, since other work still runs on the VM, and that can run
+// nowhere else meanwhile.
+func TestWaveStopsServiceTaskLast(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, 1)
+	s.submit(singleStepJob(1, task.Step{Tasks: 1, Service: true, Estimate: time.Second}), 1)
+	s.submit(singleStepJob(2, task.Step{Tasks: 1, Estimate: 8 * time.Second}), 1)
+	s.advance(2 * time.Second)
+	p := newSimPlatform(s, 1, 1, 40*time.Second)
+	for range 200 {
+		s.advance(100 * time.Millisecond)
+		runs := s.workers[p.workerID(vmName(0))].runs
+		_, other := runs[task.Name{Job: "0000000000000002"}]
+		is.True(!other || len(runs) == 2) // the other work does not run alone
+	}
+	is.True(p.progress.Completed)
+}
+
 // TestWaveOrderResults guards against a VM that is left out, or a wave that is never
 // completed, after an order to begin an upkeep has failed.
 func TestWaveOrderResults(t *testing.T) {
@@ -238,6 +257,21 @@
 	is.True(p.firstOrderAt.Sub(begun) >= simHandover)
 }
 
+// TestNewOwnerKeepsOrderedVMEmpty guards against a new owner that starts service tasks on
+// a VM whose upkeep the earlier owner has ordered, and then repeats the order.
+func TestNewOwnerKeepsOrderedVMEmpty(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, 2)
+	s.planner.RestoreWave(task.WaveProgress{Number: firstWave, FirstSeen: s.now, Ordered: []id.VM{vmName(0)},
+		Workers: map[id.VM]id.Worker{vmName(0): "w-00"}})
+	s.planner.Resume(s.now)
+	s.submit(singleStepJob(1, task.Step{Tasks: 2, Service: true, MaxUnavailable: 1, MaxPerWorker: 2, Estimate: time.Second}), 1)
+	p := newSimPlatform(s, 1, 1, 20*time.Second)
+	s.advance(20 * time.Second) // beginUpkeep fails the test if an upkeep ends a service task
+	is.True(p.progress.Completed)
+	is.Equal(p.incarnations[vmName(0)], 1)
+}
+
 // TestWaveSkipsVMThatIsOff guards against a wave that is blocked by a VM that is off and
 // can't have its upkeep now, and against one that is completed without it.
 func TestWaveSkipsVMThatIsOff(t *testing.T) {
--- a/lib/task/stored_test.go
+++ b/lib/task/stored_test.go
@@ -47,6 +47,9 @@
 			"a661616161616205616606617261726177617761" + "7a617a"},
 		{"wave progress", &task.WaveProgress{Number: 1, FirstSeen: at, Ordered: []id.VM{"v"}, Finished: []id.VM{"u"}, Completed: true}, "a5646f766572816175647365656e781e323032362d31322d30355430313a30323a30332e3030303030303030345a666e" +
 			"756d62657201676f72646572656481617669636f6d706c65746564f5"},
+		{"wave progress with workers", &task.WaveProgress{Number: 1, FirstSeen: at, Ordered: []id.VM{"v"},
+			Workers: map[id.VM]id.Worker{"v": "w"}}, "a4647365656e781e323032362d31322d30355430313a30323a30332e3030303030303030345a666e" +
+			"756d62657201676f72646572656481617667776f726b657273a161766177"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
--- a/lib/task/wave.go
+++ b/lib/task/wave.go
@@ -27,6 +27,9 @@
 	FirstSeen time.Time `cbor:"seen"`
 	// Ordered lists VMs whose upkeep was ordered and is not known to have finished.
 	Ordered []id.VM `cbor:"ordered,omitempty"`
+	// Workers are the workers of those VMs. A new owner sends them no starts before it has
+	// read the list of VMs. Records of earlier versions lack it.
+	Workers map[id.VM]id.Worker `cbor:"workers,omitempty"`
 	// Finished lists VMs whose upkeep has finished or is no longer possible.
 	Finished  []id.VM `cbor:"over,omitempty"`
 	Completed bool    `cbor:"completed,omitempty"`
