Bound expected run times

The product of a learned ratio and the estimate of a client, and ten times an estimate, exceeded what a time.Duration holds, so that the 90th percentile was negative. Expected run times are bounded by 30 days, which also keeps the sum over the steps of a job in range.

--- a/lib/predict/predict.go
+++ b/lib/predict/predict.go
@@ -82,6 +82,9 @@
 	// factor of 350,000 between the shortest and the longest run.
 	accuracy = 0.1
 	maxBins  = 64
+	// maxRunTime bounds expected run times: estimates are any number that a client sends,
+	// and products with one exceed what a time.Duration holds.
+	maxRunTime = 30 * 24 * time.Hour
 	// maxGroups bounds the groups that are kept.
 	maxGroups = 256
 )
@@ -218,7 +221,9 @@
 	if s.Estimate <= 0 {
 		return Prediction{Level: numLevels}
 	}
-	return Prediction{Low: s.Estimate / estimateSpread, Median: s.Estimate, High: s.Estimate * estimateSpread, Level: numLevels, Relative: true}
+	median := min(s.Estimate, maxRunTime)
+	return Prediction{Low: median / estimateSpread, Median: median, High: min(median*estimateSpread, maxRunTime), Level: numLevels,
+		Relative: true}
 }
 
 // quantiles returns the percentiles of a sketch times a number of seconds, and their spread.
@@ -227,6 +232,8 @@
 	if err != nil {
 		return Prediction{}, math.Inf(1) // unreachable: the sketch is not empty
 	}
-	at := func(i int) time.Duration { return time.Duration(values[i] * seconds * float64(time.Second)) }
+	at := func(i int) time.Duration {
+		return time.Duration(min(values[i]*seconds*float64(time.Second), float64(maxRunTime)))
+	}
 	return Prediction{Low: at(0), Median: at(1), High: at(2)}, values[2] / values[0]
 }
--- a/lib/predict/predict_test.go
+++ b/lib/predict/predict_test.go
@@ -182,6 +182,22 @@
 	is.True(next.Restore(nil) != nil)
 }
 
+// TestPredictionsAreBounded guards against percentiles that overflow, for estimates of
+// any size and for runs that took far longer than their estimate.
+func TestPredictionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	p := predict.New()
+	for _, runs := range []int{0, 16} {
+		for n := range runs {
+			p.Add(predict.Run{Subject: predict.Subject{Queue: "q", Estimate: 1}, Took: time.Second + time.Duration(n)})
+		}
+		for _, estimate := range []time.Duration{time.Second, math.MaxInt64 / 5, math.MaxInt64} {
+			got := p.Predict(predict.Subject{Queue: "q", Estimate: estimate})
+			is.True(got.Low > 0 && got.Low <= got.Median && got.Median <= got.High)
+		}
+	}
+}
+
 // TestPredictionsAreOrdered guards against percentiles out of order or not positive.
 func TestPredictionsAreOrdered(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
