--- a/bwbench/soakbench/soak.go
+++ b/bwbench/soakbench/soak.go
@@ -7,8 +7,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"sync"
 	"syscall"
 	"time"
@@ -134,13 +132,10 @@
 			return err
 		}
 	}
-	if c.Binary != "" {
-		return nil
+	if c.Binary == "" {
+		c.Binary, err = cooperative.BuildDaemon(c.Dir)
 	}
-	c.Binary = filepath.Join(c.Dir, "bronzewinchd")
-	build := exec.Command("go", "build", "-o", c.Binary, "bronzewinch.dev/bronzewinchd")
-	build.Stderr = os.Stderr
-	return build.Run()
+	return err
 }
 
 // soak is the state of one soak test.
--- a/lib/planner/claim.go
+++ b/lib/planner/claim.go
@@ -175,17 +175,20 @@
 // unavailable. Tasks that are already stopping, and those of groups chosen to stop with
 // it, count as unavailable.
 func (p *Planner) disruptionAllowed(now time.Time, g *group, chosen ...*group) bool {
-	s := g.step()
-	if s.MaxUnavailable == 0 {
-		return true
-	}
+	limit := g.step().MaxUnavailable
+	return limit == 0 || g.unavailableOthers(now, chosen...) < limit
+}
+
+// unavailableOthers returns the number of the other groups of a group's step that are not
+// available, or are among those chosen to stop.
+func (g *group) unavailableOthers(now time.Time, chosen ...*group) int {
 	unavailable := 0
 	for _, other := range g.occurrence.steps[g.stepIndex] {
 		if other != g && (!other.isAvailable(now) || slices.Contains(chosen, other)) {
 			unavailable++
 		}
 	}
-	return unavailable < s.MaxUnavailable
+	return unavailable
 }
 
 // availabilityTimeout is the age up to which a report shows that the tasks of its worker
--- a/lib/planner/evacuate.go
+++ b/lib/planner/evacuate.go
@@ -163,13 +163,8 @@
 func (p *Planner) shouldMove(now time.Time, m *member) bool {
 	s := m.group.step()
 	switch {
-	case s.Service && s.MaxUnavailable == 0:
-		// Without a bound, one task of the step moves at a time.
-		return !slices.ContainsFunc(m.group.occurrence.steps[m.group.stepIndex], func(other *group) bool {
-			return other != m.group && !other.isAvailable(now)
-		})
 	case s.Service:
-		return p.disruptionAllowed(now, m.group)
+		return m.group.unavailableOthers(now) < max(1, s.MaxUnavailable) // one at a time without a limit
 	case s.Checkpoints:
 		total := p.expectedRunTime(m.group.job, *s)
 		return time.Duration(float64(total)*float64(100-m.percent)/100) > minRemainingToMove
--- a/lib/planner/wave.go
+++ b/lib/planner/wave.go
@@ -296,10 +296,8 @@
 			if !u.begunAt.IsZero() || now.Sub(u.orderedAt) < upkeepRetryInterval {
 				continue
 			}
-			if p.vms[name] != nil {
-				p.drainVM(now, name, true)
-			}
-			if p.vms[name] == nil || p.isDrained(name, true) {
+			p.drainVM(now, name, true)
+			if p.isDrained(name, true) {
 				p.enqueueUpkeepOrder(now, w, name, u)
 			}
 		}
@@ -329,7 +327,7 @@
 	}
 	load := func(name id.VM) float64 {
 		sum := 0.0
-		if w := p.workers[p.vms[name].Worker]; w != nil {
+		if w := p.workerOn(name); w != nil {
 			for _, m := range w.members {
 				sum += weightedCores(m.group.step().Demand)
 			}
@@ -381,12 +379,20 @@
 	}
 }
 
+// workerOn returns the worker on a VM, or nil if there is none.
+func (p *Planner) workerOn(name id.VM) *worker {
+	if v := p.vms[name]; v != nil {
+		return p.workers[v.Worker]
+	}
+	return nil
+}
+
 // drainVM stops those runs on a VM that lose no work by it, so that they start
 // elsewhere. Service tasks are stopped only while their step may have one more task
 // unavailable. Those without such a limit may be able to run nowhere else: they are
 // stopped last, when the upkeep may follow.
 func (p *Planner) drainVM(now time.Time, name id.VM, mayFollow bool) {
-	w := p.workers[p.vms[name].Worker]
+	w := p.workerOn(name)
 	if w == nil {
 		return
 	}
@@ -405,7 +411,7 @@
 // isDrained reports whether the upkeep of a VM may begin: when no run is left on it,
 // or, if overdue is set, when all remaining runs can be repeated.
 func (p *Planner) isDrained(name id.VM, overdue bool) bool {
-	w := p.workers[p.vms[name].Worker]
+	w := p.workerOn(name)
 	if w == nil {
 		return true
 	}
--- a/lib/relay/relay.go
+++ b/lib/relay/relay.go
@@ -207,12 +207,8 @@
 	return r
 }
 
-const (
-	// callMemory and stepMemory are what a call and each step of its job take while it is
-	// processed.
-	callMemory = 4 * unit.KiB
-	stepMemory = 512 * unit.Bytes(1)
-)
+// callMemory is what a call takes while it is processed, without its job.
+const callMemory = 4 * unit.KiB
 
 // handleCall processes a call that another node has received. All nodes together can hold
 // more calls than the owner has memory for.
@@ -220,7 +216,7 @@
 	if r.calls != nil {
 		cost := int64(callMemory)
 		if req.Job != nil {
-			cost += int64(len(req.Job.Spec)) + int64(len(req.Job.Steps))*int64(stepMemory)
+			cost += int64(req.Job.Memory())
 		}
 		cost = min(cost, int64(r.config.CallMemory)) // a single call is always processed
 		if !r.calls.TryAcquire(cost) {
--- a/lib/task/task.go
+++ b/lib/task/task.go
@@ -151,6 +151,14 @@
 	Admitted Queue
 }
 
+// stepMemory is what a decoded step takes until its job has been processed.
+const stepMemory = 512 * unit.Bytes(1)
+
+// Memory returns what a decoded job takes until it has been processed.
+func (j *Job) Memory() unit.Bytes {
+	return unit.Bytes(len(j.Spec)) + unit.Bytes(len(j.Steps))*stepMemory
+}
+
 // Validate returns an error for the first invalid field of a submitted job.
 func (j Job) Validate() error {
 	invalid := func(field, value, limit, remedy string) error {
--- a/standin/cooperative/cooperative_test.go
+++ b/standin/cooperative/cooperative_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync/atomic"
@@ -33,10 +32,7 @@
 	if err != nil {
 		panic(err)
 	}
-	binary = filepath.Join(dir, "bronzewinchd")
-	build := exec.Command("go", "build", "-o", binary, "bronzewinch.dev/bronzewinchd")
-	build.Stderr = os.Stderr
-	if err := build.Run(); err != nil {
+	if binary, err = cooperative.BuildDaemon(dir); err != nil {
 		panic(err)
 	}
 	code := m.Run()
--- a/standin/cooperative/world.go
+++ b/standin/cooperative/world.go
@@ -19,6 +19,14 @@
 	"golang.org/x/sys/unix"
 )
 
+// BuildDaemon builds the daemon in a folder and returns its path.
+func BuildDaemon(dir string) (string, error) {
+	binary := filepath.Join(dir, "bronzewinchd")
+	build := exec.Command("go", "build", "-o", binary, "bronzewinch.dev/bronzewinchd")
+	build.Stderr = os.Stderr
+	return binary, build.Run()
+}
+
 // DeploymentConfig configures a Deployment.
 type DeploymentConfig struct {
 	// Binary is the path of the daemon's executable.
--- a/standin/crowd/crowd_test.go
+++ b/standin/crowd/crowd_test.go
@@ -11,8 +11,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -44,10 +42,7 @@
 	if err != nil {
 		panic(err)
 	}
-	binary = filepath.Join(dir, "bronzewinchd")
-	build := exec.Command("go", "build", "-o", binary, "bronzewinch.dev/bronzewinchd")
-	build.Stderr = os.Stderr
-	if err := build.Run(); err != nil {
+	if binary, err = cooperative.BuildDaemon(dir); err != nil {
 		panic(err)
 	}
 	code := m.Run()
