Bound pages and values of the stand-in store as the platform does

The platform's store returns at most about 500 items or 1 MB in a page, and stores values of at most 1 MiB; the stand-in had no bound in bytes, so a new owner seemed to read everything in one page, and a record that the platform would reject was stored. Deployments can have a second account and serve metrics, for the crowds.

--- a/standin/cooperative/store.go
+++ b/standin/cooperative/store.go
@@ -264,8 +264,22 @@
 	reply(w, http.StatusOK, i)
 }
 
-// maxPageItems is the maximum number of items in a page of a range read.
-const maxPageItems = 500
+// maxPageItems and maxPageBytes bound a page of a range read. A page has at least one item.
+const (
+	maxPageItems = 500
+	maxPageBytes = 1 << 20
+)
+
+// firstPage returns the items that fit into one page.
+func firstPage(items []item) []item {
+	size := 0
+	for n, i := range items {
+		if size += len(i.Key) + len(i.Value); n > 0 && size > maxPageBytes || n == maxPageItems {
+			return items[:n]
+		}
+	}
+	return items
+}
 
 func (s *Store) list(w http.ResponseWriter, r *http.Request) {
 	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
@@ -279,9 +293,8 @@
 	rev := s.rev
 	s.mu.Unlock()
 	slices.SortFunc(items, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
-	more := len(items) > maxPageItems
-	items = items[:min(len(items), maxPageItems)]
-	reply(w, http.StatusOK, map[string]any{"items": items, "has_more": more, "current_rev": rev})
+	page := firstPage(items)
+	reply(w, http.StatusOK, map[string]any{"items": page, "has_more": len(page) < len(items), "current_rev": rev})
 }
 
 func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
@@ -341,12 +354,17 @@
 }
 
 // maxTxnEntries is the maximum number of conditions, writes and removals in a
-// transaction.
-const maxTxnEntries = 32
+// transaction, and maxValueBytes the maximum size of a value.
+const (
+	maxTxnEntries = 32
+	maxValueBytes = 1 << 20
+)
 
 func (s *Store) txn(w http.ResponseWriter, r *http.Request) {
 	var req txnRequest
-	if err := json.NewDecoder(r.Body).Decode(&req); err != nil || len(req.ExpectRev)+len(req.Writes)+len(req.Remove) > maxTxnEntries {
+	tooLarge := func(i item) bool { return len(i.Value) > maxValueBytes }
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil || len(req.ExpectRev)+len(req.Writes)+len(req.Remove) > maxTxnEntries ||
+		slices.ContainsFunc(req.Writes, tooLarge) {
 		reply(w, http.StatusBadRequest, struct{}{})
 		return
 	}
--- a/standin/cooperative/world.go
+++ b/standin/cooperative/world.go
@@ -41,12 +41,18 @@
 	// MemoryMB and MaxFDs are the limits of the nodes' memory and file descriptors in
 	// their settings, or zero for none. They are not enforced.
 	MemoryMB, MaxFDs int
+	// SecondAccount adds an account without a guarantee, with the key SecondAPIKey.
+	SecondAccount bool
+	// ServeMetrics lets the nodes serve their metrics.
+	ServeMetrics bool
 }
 
 // Host name and API key in the configuration that a Deployment writes.
 const (
 	Host   = "jobs.example"
 	APIKey = "key-1"
+	// SecondAPIKey is the key of the second account, if the Deployment has one.
+	SecondAPIKey = "key-2"
 )
 
 // PathPrefix returns the path prefix of a queue. Queue 0 has the highest
@@ -81,6 +87,8 @@
 	Name string
 	// FrontAddress serves clients, and ReadinessAddress the readiness probe.
 	FrontAddress, ReadinessAddress string
+	// PeerAddress serves other nodes, and MetricsAddress the metrics, if it is not empty.
+	PeerAddress, MetricsAddress string
 	// StoreProxy forwards the node's connections to the store.
 	StoreProxy *Proxy
 	// SettingsPath is the path of the settings file.
@@ -180,10 +188,13 @@
 		routes = append(routes, map[string]any{"name": fmt.Sprintf("queue-%d", q), "host": Host, "prefix": PathPrefix(q),
 			"service": "service", "priority": q, "attempts": 3, "slack_factor": 3.0, "target_latency_ms": 500})
 	}
+	tenants := []map[string]any{{"name": "account", "api_keys": []string{APIKey},
+		"guaranteed": map[string]int{"gpu": d.config.Workers * WorkerGPUs / 2}}}
+	if d.config.SecondAccount {
+		tenants = append(tenants, map[string]any{"name": "second", "api_keys": []string{SecondAPIKey}})
+	}
 	d.Store.Write("op/config", map[string]any{"version": d.version, "routes": routes,
-		"services": []map[string]any{{"name": "service", "enforces_capacity": true}},
-		"tenants": []map[string]any{{"name": "account", "api_keys": []string{APIKey},
-			"guaranteed": map[string]int{"gpu": d.config.Workers * WorkerGPUs / 2}}}})
+		"services": []map[string]any{{"name": "service", "enforces_capacity": true}}, "tenants": tenants})
 }
 
 func (d *Deployment) newNode(name string, seeds *[]string) (*Node, error) {
@@ -192,14 +203,17 @@
 		return nil, err
 	}
 	n := &Node{Name: name, StoreProxy: p, binary: d.config.Binary, SettingsPath: filepath.Join(d.config.Dir, name+".toml")}
-	var control string
-	for _, a := range []*string{&n.FrontAddress, &n.ReadinessAddress, &control} {
+	addresses := []*string{&n.FrontAddress, &n.ReadinessAddress, &n.PeerAddress}
+	if d.config.ServeMetrics {
+		addresses = append(addresses, &n.MetricsAddress)
+	}
+	for _, a := range addresses {
 		if *a, err = freeAddress(); err != nil {
 			return nil, err
 		}
 	}
 	if len(*seeds) < 3 {
-		*seeds = append(*seeds, control)
+		*seeds = append(*seeds, n.PeerAddress)
 	}
 	text := fmt.Sprintf("node = %q\nzone = \"zone\"\nip = \"127.0.0.1\"\nseeds = [", name)
 	for _, s := range *seeds {
@@ -219,7 +233,7 @@
 	text += fmt.Sprintf("[listen]\nfront = %q\nready = %q\ncontrol = %q\n[bounds]\ngrace_s = 6\nhold_max_ms = %d\n"+
 		"stop_ms = %d\nstatus_s = 120\nreclaim_ms = 2900\nremote_factor = 3\nrestore_ms = 600\nupkeep_s = %g\nlease_ms = 1000\nevacuate_ms = %d\n"+
 		"[platform]\naddress = %q\n[cloud]\naddress = %q\n",
-		n.FrontAddress, n.ReadinessAddress, control, maxLease.Milliseconds(), stopDuration.Milliseconds(), upkeepTime.Seconds(), maxEvacuationDelay.Milliseconds(), p.Address(), d.cloudProxy.Address())
+		n.FrontAddress, n.ReadinessAddress, n.PeerAddress, maxLease.Milliseconds(), stopDuration.Milliseconds(), upkeepTime.Seconds(), maxEvacuationDelay.Milliseconds(), p.Address(), d.cloudProxy.Address())
 	if err := os.WriteFile(n.SettingsPath, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
@@ -234,7 +248,11 @@
 	if n.process != nil {
 		return nil
 	}
-	c := exec.Command(n.binary, "-platform")
+	args := []string{"-platform"}
+	if _, port, err := net.SplitHostPort(n.MetricsAddress); err == nil {
+		args = append(args, "-metrics", port)
+	}
+	c := exec.Command(n.binary, args...)
 	c.Env = append(os.Environ(), "BRONZEWINCH_BOOT="+n.SettingsPath)
 	c.Stdout, c.Stderr = n.log, n.log
 	if err := c.Start(); err != nil {
@@ -304,6 +322,22 @@
 	return string(b)
 }
 
+// StopReadingLog restarts the node with a pipe as its output that nobody reads, until the
+// returned function is called. What it logs meanwhile is not part of Log.
+func (n *Node) StopReadingLog() (release func(), err error) {
+	<-n.Signal(syscall.SIGKILL)
+	r, w, err := os.Pipe()
+	if err != nil {
+		return nil, err
+	}
+	log := n.log
+	n.log = w
+	err = n.Start()
+	n.log = log
+	_ = w.Close() // the process has its own
+	return func() { _ = r.Close() }, err
+}
+
 // IsReady reports whether the node's readiness probe succeeds.
 func (n *Node) IsReady() bool {
 	client := http.Client{Timeout: 500 * time.Millisecond}
