Bound what accepted jobs take in the owner, in the next one and in the store

What callers saw: an owner grew beyond its VM and would have been ended, though every submission was valid. An owner with limits of 64 MB grew to 253 MB by jobs with labels of 250 KB, to 712 MB by jobs of 10,000 tasks, and a new one that loaded them to 229 and 710 MB. lib/budget counted a request until its reply; nothing counted what accepted jobs take afterwards.

Cause and change: - A submission is counted from before it is queued until its job and its runs have ended (budget.Backlog). Without room it gets 503 with Retry-After: 5. An account leaves room for others, and large jobs for ordinary ones of the same account. - Ended jobs keep their state alone, and large records of theirs in the store are replaced. - A new owner reads jobs and progress side by side, a page of each at a time, and counts what it loads. - A transaction has at most 256 KiB or one record, and its time limit grows with its size. Before, 30 records of 250 KB went into one, and a link of 2 Mbit/s can't send even one in the limit of 1.2 s, so that it would be repeated for good. - Zero fields of steps are not encoded: a job of legal size with 10,000 steps had a record of over 1 MiB, which the platform's store rejects, so that each owner's term would end on it. Records of both versions can be read by both. - Labels, racks and dependencies count as well as the spec.

Evidence: on the code before (beside builds of this change), of the crowds fixed in standin/crowd/accepted_test.go, large specs (113 MB), large labels, many tasks and small jobs (65 MB) fail in TestAcceptedJobs, before and after the loss of all nodes, and large specs in TestAcceptedJobsThroughFollower (123 MB) and TestEndedJobs (128 MB). TestEndedJobs/small passed before. Now all pass, and all accepted jobs are known, also after all nodes were killed. TestLargestRecordFits and TestLargeTransactionOverSlowLink failed before, too.

--- a/lib/controller/controller.go
+++ b/lib/controller/controller.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"bronzewinch.dev/lib/budget"
 	"bronzewinch.dev/lib/dependency"
 	"bronzewinch.dev/lib/election"
 	"bronzewinch.dev/lib/id"
@@ -18,6 +19,7 @@
 	"bronzewinch.dev/lib/shard"
 	"bronzewinch.dev/lib/task"
 	"bronzewinch.dev/lib/timer"
+	"bronzewinch.dev/lib/unit"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
@@ -62,6 +64,9 @@
 	// bridge an outage of seven seconds.
 	outageRetryAfter = 2 * time.Second
 	outageThreshold  = 2 * time.Second
+	// backlogRetryAfter is the retry delay for submissions that are refused for want of
+	// memory, which becomes free as jobs end.
+	backlogRetryAfter = 5 * time.Second
 	// isolationTimeout is how long an owner that has received heartbeats keeps
 	// ownership without receiving more. A partitioned owner must not prevent the
 	// other nodes from taking over the scheduler.
@@ -96,6 +101,8 @@
 	// VMs may be nil if the platform has no VMs that need upkeep.
 	VMs     VMs
 	Planner planner.Config
+	// JobMemory bounds what accepted jobs take. Zero means that they are not bounded.
+	JobMemory unit.Bytes
 	// MaxEvacuationDelay bounds the time from a request to evacuate a zone to the last
 	// start in that zone. Zero means that the deployment sets no bound.
 	MaxEvacuationDelay time.Duration
@@ -130,6 +137,7 @@
 	for name, value := range map[string]func(*session) int64{
 		"bronzewinch_evacuated_zones": func(s *session) int64 { return int64(len(s.evacuatedZones())) },
 		"bronzewinch_evacuated_runs":  func(s *session) int64 { return s.evacuatedRuns.Load() },
+		"bronzewinch_job_held_bytes":  (*session).heldByJobs,
 	} {
 		c.Metrics.NewGauge(name, func() float64 {
 			if s := ctrl.session.Load(); s != nil {
@@ -208,16 +216,23 @@
 		return Reply{Outcome: OK}
 	}
 	unknown := Reply{Outcome: Unknown, Detail: "the call may have been executed; repeat it with the same job id"}
+	_, undecided := s.undecided.Get(c.job)
 	if s.stalled() {
-		if _, ok := s.undecided.Get(c.job); ok {
+		if undecided {
 			return unknown // an earlier attempt may still be stored
 		}
 		return refused
 	}
 	e := &callEvent{call: c, reply: make(chan Reply, 1)}
+	if req.Verb == Submit {
+		if reply, ok := s.admit(e, undecided); !ok {
+			return reply
+		}
+	}
 	s.undecided.Set(c.job, struct{}{})
 	if err := s.events.Put(e); err != nil {
 		s.undecided.Delete(c.job)
+		s.withdraw(e)
 		return refused
 	}
 	select {
@@ -251,6 +266,7 @@
 	wavesOpen         atomic.Bool                  // an upkeep wave is not finished
 	evacuatedRuns     atomic.Int64                 // runs in evacuated zones after the last cycle
 	undecided         *shard.Map[id.Job, struct{}] // jobs whose calls wait for a cycle
+	backlog           *budget.Backlog              // what accepted jobs take, or nil if they are not bounded
 	queueLengths      *shard.Map[task.QueueName, int]
 	links             *shard.Map[id.Worker, *link]
 	settled           bool                             // the planner knows that all earlier terms have ended
@@ -306,6 +322,9 @@
 		upkeepOrders: pipe.NewQueue[planner.UpkeepOrder](maxQueuedUpkeepOrders),
 		links:        shard.NewMap[id.Worker, *link](), extensions: shard.NewMap[id.Worker, time.Time](), commitVersion: term.CommitVersion, done: make(chan struct{}),
 	}
+	if ctrl.config.JobMemory > 0 {
+		s.backlog = budget.NewBacklog(budget.BacklogConfig{Memory: ctrl.config.JobMemory})
+	}
 	ctrl.mu.Lock()
 	clear(ctrl.lastHeartbeat) // heartbeats received in an earlier term of this node do not count
 	ctrl.mu.Unlock()
--- a/lib/controller/cycle.go
+++ b/lib/controller/cycle.go
@@ -13,6 +13,7 @@
 	"bronzewinch.dev/lib/problem"
 	"bronzewinch.dev/lib/task"
 	"bronzewinch.dev/lib/timer"
+	"bronzewinch.dev/lib/unit"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
@@ -102,13 +103,17 @@
 
 type callEvent struct {
 	call
-	reply chan Reply
+	admitted unit.Bytes // what the job of a submission is counted for
+	reply    chan Reply
 }
 
 func (e *callEvent) apply(s *session, now time.Time, work *deferredWork) {
 	var reply Reply
 	if e.Verb == Submit {
-		reply = s.submit(now, e.call)
+		_, known := s.planner.Status(e.job)
+		if reply = s.submit(now, e.call); known || reply.Outcome != OK {
+			s.withdraw(e)
+		}
 	} else {
 		reply = s.cancel(now, e.call)
 	}
@@ -165,6 +170,7 @@
 			s.term.End(err)
 			return err
 		}
+		s.releaseFreed(changes.Freed)
 		s.release(changes, work)
 		pause := cyclePauseFactor * (decided - start)
 		if len(changes.Jobs)+len(changes.Progress) > 0 {
@@ -230,7 +236,7 @@
 		}
 	}
 	for len(writes)+len(removals) > 0 {
-		w := min(len(writes), maxPerTxn)
+		w := countWithin(writes[:min(len(writes), maxPerTxn)], maxTxnSize)
 		r := min(len(removals), maxPerTxn-w)
 		if err := s.commitTxn(ctx, writes[:w], removals[:r]); err != nil {
 			return err
@@ -240,7 +246,25 @@
 	return nil
 }
 
+// maxTxnSize bounds the values of a transaction with several writes. A record alone may be
+// larger.
+const maxTxnSize = 256 * unit.KiB
+
+// countWithin returns the number of writes, at least one if there are any, whose values
+// take at most limit.
+func countWithin(writes []kv.Write, limit unit.Bytes) int {
+	size := unit.Bytes(0)
+	for n, w := range writes {
+		if size += unit.Bytes(len(w.Value)); n > 0 && size > limit {
+			return n
+		}
+	}
+	return len(writes)
+}
+
 const (
+	// commitTimeout is the time limit of a small transaction. A large one gets
+	// kv.Txn.SendTime in addition.
 	commitTimeout = 1200 * time.Millisecond
 	// minCommitRetryPause and maxCommitRetryPause bound the backoff between
 	// attempts. Every call to the store has a cost, even during an outage.
@@ -268,7 +292,7 @@
 	s.commitStartedAt.Store(int64(timer.SinceBoot()))
 	defer s.commitStartedAt.Store(0)
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, commitTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, commitTimeout+txn.SendTime())
 		result, err := s.controller.config.Store.Commit(callCtx, txn)
 		cancel()
 		switch {
@@ -406,14 +430,6 @@
 	if err != nil {
 		return errors.Wrap(err, "read the list of workers")
 	}
-	jobs, err := readAll[task.Job](ctx, s, jobPrefix)
-	if err != nil {
-		return err
-	}
-	progress, err := readAll[task.Progress](ctx, s, progressPrefix)
-	if err != nil {
-		return err
-	}
 	lateStarts, err := readAll[task.LateStart](ctx, s, lateStartPrefix)
 	if err != nil {
 		return err
@@ -431,33 +447,57 @@
 		lastExtension = now
 	}
 	leaseExpiry := s.controller.config.Planner.LeaseExpiry(lastExtension)
-	byJob := make(map[id.Job]task.Progress, len(progress))
-	for _, p := range progress {
-		byJob[p.Job] = p
-	}
 	for _, l := range lateStarts {
 		s.planner.RestoreLateStart(now, l)
 	}
-	for _, j := range jobs {
-		s.planner.Restore(now, leaseExpiry, j, byJob[j.ID])
+	jobs, err := s.loadJobs(ctx, now, leaseExpiry)
+	if err != nil {
+		return err
 	}
+	now = s.controller.config.Timer.Now()
 	if err := s.loadWaves(ctx, now, config.Waves); err != nil {
 		return err
 	}
 	s.planner.Resume(now)
-	for _, j := range jobs {
-		s.publishJobStatus(j.ID)
-	}
 	s.applyWorkers(ctx, now, workers)
 	s.linkUnlistedWorkers(ctx, now, lateStarts)
 	s.wg.Go(func() { s.watchConfig(ctx, config.Version) })
 	s.wg.Go(func() { s.watchWorkers(ctx, workers.Version) })
 	s.controller.metrics.loadSeconds.Update(s.controller.config.Timer.Now().Sub(start).Seconds())
-	klog.InfoS("state loaded", "event", "load", "fence", s.term.Fence, "jobs", len(jobs), "workers", len(workers.Workers), "earlierTermsEnded", s.settled,
+	klog.InfoS("state loaded", "event", "load", "fence", s.term.Fence, "jobs", jobs, "workers", len(workers.Workers), "earlierTermsEnded", s.settled,
 		"config", s.directory.Load().config.Number, "tookMs", s.controller.config.Timer.Now().Sub(start).Milliseconds())
 	return nil
 }
 
+// loadJobs restores the stored jobs and returns their number. It reads jobs and progress side
+// by side, both in the order of their keys, and keeps one page of each: the records of all
+// jobs can take several times the memory of the jobs that have not ended.
+func (s *session) loadJobs(ctx context.Context, now, leaseExpiry time.Time) (int, error) {
+	jobs, progress := newPager[task.Job](ctx, s, jobPrefix), newPager[task.Progress](ctx, s, progressPrefix)
+	var p task.Progress
+	more := true
+	for n := 0; ; n++ {
+		j, ok, err := jobs.next()
+		if err != nil || !ok {
+			return n, err
+		}
+		for more && p.Job < j.ID {
+			if p, more, err = progress.next(); err != nil {
+				return n, err
+			}
+		}
+		stored := task.Progress{Job: j.ID}
+		if more && p.Job == j.ID {
+			stored = p
+		}
+		if s.backlog != nil {
+			s.backlog.Restore(j.Account, planner.JobMemory(&j))
+		}
+		s.planner.Restore(now, leaseExpiry, j, stored)
+		s.publishJobStatus(j.ID)
+	}
+}
+
 // awaitConfig reads the configuration. It waits in a new deployment, which has
 // none at first.
 func (s *session) awaitConfig(ctx context.Context) (Update, error) {
@@ -472,7 +512,8 @@
 	}
 }
 
-// SpecReader reads the specs of stored jobs. The record of a job never changes.
+// SpecReader reads the specs of stored jobs. The record of a job does not change until it has
+// ended.
 type SpecReader struct {
 	Store interface {
 		Get(ctx context.Context, key string) (kv.Item, error)
@@ -489,5 +530,8 @@
 	if err := cbor.Unmarshal(item.Value, &j); err != nil {
 		return "", errors.Wrapf(err, "job %s", name)
 	}
+	if len(j.Steps) == 0 {
+		return "", problem.New(problem.NotFound, problem.Detail{Field: "spec of job " + string(name), Remedy: "start no task of this job; it has ended"})
+	}
 	return j.Spec, nil
 }
--- a/lib/controller/fake_test.go
+++ b/lib/controller/fake_test.go
@@ -38,6 +38,7 @@
 	panicNext     bool // the next Commit panics
 	listsDown     bool // List fails
 	refusedLists  int
+	pageItems     int           // items in a page of List, or zero for all
 	refused       chan struct{} // receives a value, unless it is full, for each transaction that fails while the store is down
 }
 
@@ -81,6 +82,9 @@
 			items = append(items, s.items[key])
 		}
 	}
+	if s.pageItems > 0 {
+		items = items[:min(len(items), s.pageItems)]
+	}
 	return items, nil
 }
 
@@ -375,6 +379,7 @@
 // testController is a controller that owns the scheduler.
 type testController struct {
 	*controller.Controller
+	t        *testing.T
 	store    *fakeStore
 	workers  *fakeWorkers
 	election *election.Election
@@ -399,11 +404,23 @@
 func serveWithLists(t *testing.T, store *fakeStore, workers *fakeWorkers, lists fakeLists) *testController {
 	t.Helper()
 	c := newController(store, workers, lists)
-	return &testController{Controller: c, store: store, workers: workers, election: becomeOwner(t, c, store, workers)}
+	return &testController{Controller: c, t: t, store: store, workers: workers, election: becomeOwner(t, c, store, workers)}
+}
+
+// serveBounded is like serve, with a bound on what accepted jobs take.
+func serveBounded(t *testing.T, store *fakeStore, workers *fakeWorkers, memory unit.Bytes) *testController {
+	t.Helper()
+	c := newBoundedController(store, workers, fakeLists{workers: testWorkers()}, memory)
+	return &testController{Controller: c, t: t, store: store, workers: workers, election: becomeOwner(t, c, store, workers)}
 }
 
 func newController(store *fakeStore, workers *fakeWorkers, lists fakeLists) *controller.Controller {
-	return controller.New(controller.Config{Node: "node", Store: store, Lists: lists, Workers: workers, MaxEvacuationDelay: testEvacuationDelay,
+	return newBoundedController(store, workers, lists, 0)
+}
+
+// newBoundedController is like newController, with a bound on what accepted jobs take.
+func newBoundedController(store *fakeStore, workers *fakeWorkers, lists fakeLists, memory unit.Bytes) *controller.Controller {
+	return controller.New(controller.Config{Node: "node", Store: store, Lists: lists, Workers: workers, JobMemory: memory, MaxEvacuationDelay: testEvacuationDelay,
 		Planner: planner.Config{MaxLease: 6 * time.Second, RemoteFactor: 3, Retention: time.Minute, MaxGuaranteedWait: 3 * time.Second,
 			MaxStopTime: 400 * time.Millisecond},
 		Timer: timer.NewSystem(), Metrics: metrics.NewSet()})
--- a/lib/controller/figures.go
+++ b/lib/controller/figures.go
@@ -21,6 +21,8 @@
 	stoppedRunSeconds *metrics.Histogram
 	// runTimeRatio is the ratio of run times to what was expected of them.
 	runTimeRatio *metrics.Histogram
+	// refusedJobs counts submissions that were refused for want of memory.
+	refusedJobs *metrics.Counter
 	// loadSeconds is how long a new owner took to load the stored state.
 	loadSeconds *metrics.Histogram
 }
@@ -32,6 +34,7 @@
 		startWaitSeconds:  set.GetOrCreateHistogram("bronzewinch_start_wait_seconds"),
 		stoppedRunSeconds: set.GetOrCreateHistogram("bronzewinch_stopped_run_seconds"),
 		runTimeRatio:      set.GetOrCreateHistogram("bronzewinch_run_time_ratio"),
+		refusedJobs:       set.GetOrCreateCounter("bronzewinch_jobs_refused_total"),
 		loadSeconds:       set.GetOrCreateHistogram("bronzewinch_load_seconds"),
 	}
 }
--- a/lib/controller/read.go
+++ b/lib/controller/read.go
@@ -75,35 +75,63 @@
 // readAll reads all records under a prefix. It logs and skips records that
 // can't be decoded.
 func readAll[T any](ctx context.Context, s *session, prefix string) ([]T, error) {
-	return readPages[T](prefix, func(after string) ([]kv.Item, error) {
-		return readStored(ctx, s, func(ctx context.Context) ([]kv.Item, error) {
-			return s.controller.config.Store.List(ctx, prefix, after, pageSize)
-		})
-	})
+	return readPages[T](prefix, newPager[T](ctx, s, prefix).read)
 }
 
 // readPages reads the pages that follow each other until one is empty, and decodes their
 // records.
 func readPages[T any](prefix string, read func(after string) ([]kv.Item, error)) ([]T, error) {
 	var all []T
-	after := ""
+	pager := pager[T]{prefix: prefix, read: read}
 	for {
-		items, err := read(after)
+		v, ok, err := pager.next()
 		if err != nil {
-			return nil, errors.Wrapf(err, "read %s", prefix)
+			return nil, err
 		}
-		if len(items) == 0 {
+		if !ok {
 			return all, nil
 		}
-		for _, item := range items {
-			after = item.Key
-			var v T
-			if err := cbor.Unmarshal(item.Value, &v); err != nil {
-				klog.ErrorS(err, "stored record skipped; it can't be decoded", "event", "load", "key", item.Key)
-				continue
+		all = append(all, v)
+	}
+}
+
+// pager reads the records under a prefix in the order of their keys. It keeps one page.
+type pager[T any] struct {
+	prefix string
+	read   func(after string) ([]kv.Item, error)
+	page   []kv.Item
+	after  string
+}
+
+func newPager[T any](ctx context.Context, s *session, prefix string) *pager[T] {
+	return &pager[T]{prefix: prefix, read: func(after string) ([]kv.Item, error) {
+		return readStored(ctx, s, func(ctx context.Context) ([]kv.Item, error) {
+			return s.controller.config.Store.List(ctx, prefix, after, pageSize)
+		})
+	}}
+}
+
+// next returns the next record, or false if there is none. It logs and skips records that
+// can't be decoded.
+func (p *pager[T]) next() (v T, ok bool, err error) {
+	for {
+		if len(p.page) == 0 {
+			if p.page, err = p.read(p.after); err != nil {
+				return v, false, errors.Wrapf(err, "read %s", p.prefix)
 			}
-			all = append(all, v)
+			if len(p.page) == 0 {
+				return v, false, nil
+			}
+		}
+		item := p.page[0]
+		p.page[0] = kv.Item{} // its value is not needed any more
+		p.page, p.after = p.page[1:], item.Key
+		var record T
+		if err := cbor.Unmarshal(item.Value, &record); err != nil {
+			klog.ErrorS(err, "stored record skipped; it can't be decoded", "event", "load", "key", item.Key)
+			continue
 		}
+		return record, true, nil
 	}
 }
 
--- a/lib/kv/txn.go
+++ b/lib/kv/txn.go
@@ -1,5 +1,11 @@
 package kv
 
+import (
+	"time"
+
+	"bronzewinch.dev/lib/unit"
+)
+
 // Expect is a condition of a transaction: the current version of a key, where zero
 // means that the key is absent.
 type Expect struct {
@@ -23,6 +29,24 @@
 	Remove []string
 }
 
+const (
+	// smallTxn is the size up to which a transaction is sent in no time.
+	smallTxn = 64 * unit.KiB
+	// minSendRate is the rate, for each second, at which even the slowest link sends, a
+	// fraction of 2 Mbit/s. Values are sent as base64 text.
+	minSendRate = 96 * unit.KiB
+)
+
+// SendTime returns the time that the values of a large transaction may take on a slow link,
+// or zero for a small one.
+func (t Txn) SendTime() time.Duration {
+	size := unit.Bytes(0)
+	for _, w := range t.Writes {
+		size += unit.Bytes(len(w.Value))
+	}
+	return time.Duration(float64(max(0, size-smallTxn)) / float64(minSendRate) * float64(time.Second))
+}
+
 // MaxTxn is the maximum number of conditions, writes and removals of a Txn.
 const MaxTxn = 32
 
--- a/lib/planner/job.go
+++ b/lib/planner/job.go
@@ -19,6 +19,7 @@
 	started         bool
 	openOccurrences []*occurrence // occurrences that have become due and are not complete
 	nextOccurrence  int           // number of the next occurrence to open
+	memory          unit.Bytes    // what it is counted for
 }
 
 type occurrence struct {
@@ -118,8 +119,9 @@
 	if q.Priority == 0 {
 		p.lastFirstPriorityAt = now
 	}
+	memory := JobMemory(&t)
 	t.Accepted, t.Admitted = now, q
-	j := &job{Job: t, queue: q}
+	j := &job{Job: t, queue: q, memory: memory}
 	j.work = j.workOf()
 	p.jobs[t.ID] = j
 	p.activeJobs = append(p.activeJobs, j)
@@ -162,15 +164,6 @@
 // Later occurrences open when earlier ones are complete.
 const maxOpenTasks = 20000
 
-// tasks returns the number of tasks of one occurrence.
-func (j *job) tasks() int {
-	n := 0
-	for _, s := range j.Steps {
-		n += s.Tasks
-	}
-	return n
-}
-
 // openDueOccurrences opens the occurrences of a job that are due.
 func (p *Planner) openDueOccurrences(now time.Time, j *job) {
 	for j.nextOccurrence < j.occurrenceCount() {
@@ -178,7 +171,7 @@
 		if j.Occurrences > 0 {
 			due = j.First.Add(time.Duration(j.nextOccurrence) * j.Interval)
 		}
-		if due.After(now) || len(j.openOccurrences) > 0 && (len(j.openOccurrences)+1)*j.tasks() > maxOpenTasks {
+		if due.After(now) || len(j.openOccurrences) > 0 && (len(j.openOccurrences)+1)*j.TaskCount() > maxOpenTasks {
 			return
 		}
 		j.openOccurrences = append(j.openOccurrences, newOccurrence(j, j.nextOccurrence, due))
@@ -245,6 +238,7 @@
 func (p *Planner) endJob(now time.Time, j *job, state task.State, reason string) {
 	j.state, j.endedAt = state, now
 	p.activeJobs = slices.DeleteFunc(p.activeJobs, func(other *job) bool { return other == j })
+	p.untrimmedJobs = append(p.untrimmedJobs, j)
 	for _, o := range j.openOccurrences {
 		for _, groups := range o.steps {
 			for _, g := range groups {
@@ -310,7 +304,7 @@
 	if !ok {
 		q = t.Admitted
 	}
-	j := &job{Job: t, queue: q, state: stored.State, endedAt: stored.Ended, started: stored.Started}
+	j := &job{Job: t, queue: q, state: stored.State, endedAt: stored.Ended, started: stored.Started, memory: JobMemory(&t)}
 	j.work = j.workOf()
 	p.jobs[t.ID] = j
 	if !j.state.Ended() {
@@ -338,7 +332,14 @@
 			}
 		}
 	}
-	p.openDueOccurrences(now, j)
+	switch {
+	case !j.state.Ended():
+		p.openDueOccurrences(now, j)
+	case !j.hasRuns():
+		p.trim(j)
+	default:
+		p.untrimmedJobs = append(p.untrimmedJobs, j)
+	}
 }
 
 func (p *Planner) restoreGroup(now, leaseExpiry time.Time, g *group, stored task.GroupProgress) {
--- a/lib/planner/planner.go
+++ b/lib/planner/planner.go
@@ -125,11 +125,14 @@
 // Changes holds the records to store, the orders to send and the decisions to log
 // that resulted from a series of events.
 type Changes struct {
+	// Jobs holds new jobs, and what is left of large jobs that have ended.
 	Jobs     []task.Job
 	Progress []task.Progress
 	// Started lists jobs whose first task has started.
-	Started        []id.Job
-	Removed        []id.Job
+	Started []id.Job
+	Removed []id.Job
+	// Freed lists the memory that jobs no longer take.
+	Freed          []Freed
 	AdviceRequests []AdviceRequest
 	Orders         []Order
 	Waves          []task.WaveProgress
@@ -151,6 +154,7 @@
 	rules               Rules
 	jobs                map[id.Job]*job
 	activeJobs          []*job // jobs that have not ended, in order of acceptance
+	untrimmedJobs       []*job // ended jobs that may have runs in progress
 	workers             map[id.Worker]*worker
 	workersByID         []*worker   // the same workers, in the order of their ids
 	candidates          []candidate // of the last pass, for reuse
@@ -171,6 +175,7 @@
 	dirtyJobs      map[id.Job]*job
 	startedJobs    []id.Job
 	removedJobs    []id.Job
+	freed          []Freed
 	adviceRequests []AdviceRequest
 	orders         []Order
 	decisions      []Decision
@@ -206,7 +211,7 @@
 
 // TakeChanges returns the changes since the last call.
 func (p *Planner) TakeChanges() Changes {
-	c := Changes{Jobs: p.newJobs, Started: p.startedJobs, Removed: p.removedJobs,
+	c := Changes{Jobs: p.newJobs, Started: p.startedJobs, Removed: p.removedJobs, Freed: p.freed,
 		AdviceRequests: p.adviceRequests, Orders: p.orders, Decisions: p.decisions}
 	for _, j := range p.dirtyJobs {
 		c.Progress = append(c.Progress, j.progress())
@@ -219,7 +224,7 @@
 	clear(p.dirtyJobs)
 	clear(p.dirtyWaves)
 	p.newJobs, p.startedJobs, p.removedJobs, p.adviceRequests, p.orders, p.decisions = nil, nil, nil, nil, nil, nil
-	p.removedWaves, p.upkeepOrders = nil, nil
+	p.removedWaves, p.upkeepOrders, p.freed = nil, nil, nil
 	p.newLateStarts, p.removedLateStarts = nil, nil
 	return c
 }
--- a/lib/planner/worker.go
+++ b/lib/planner/worker.go
@@ -515,7 +515,7 @@
 
 // Tick opens occurrences that are due, ends the runs of workers whose lease has
 // expired, repeats unanswered orders to stop, advances the waves and evacuations, and
-// removes jobs that ended longer than Config.Retention ago.
+// discards what ended jobs no longer need.
 func (p *Planner) Tick(now time.Time) {
 	p.runTimes.refresh(now)
 	for _, j := range p.activeJobs {
@@ -543,12 +543,8 @@
 	p.removeLateStarts(now)
 	p.advanceWaves(now)
 	p.advanceEvacuations(now)
-	for name, j := range p.jobs {
-		if j.state.Ended() && now.Sub(j.endedAt) > p.config.Retention {
-			delete(p.jobs, name)
-			p.removedJobs = append(p.removedJobs, name)
-		}
-	}
+	p.removeOldJobs(now)
+	p.trimEndedJobs()
 }
 
 // leasesExpired reports whether no call can have given the runs on a worker a lease that
--- a/lib/task/stored_test.go
+++ b/lib/task/stored_test.go
@@ -62,3 +62,21 @@
 		})
 	}
 }
+
+// TestLargestRecordFits guards against the record of a job of legal size that exceeds the
+// size of a value in the store: the owner's term would end on it, and the next one's, too.
+func TestLargestRecordFits(t *testing.T) {
+	const maxValue = 1 << 20
+	is := is.New(t)
+	j := task.Job{ID: "0123456789abcdef", Queue: "q", Account: "a"}
+	for range task.MaxTasks {
+		j.Steps = append(j.Steps, task.Step{Tasks: 1, Demand: unit.Resources{Accelerators: 1}})
+	}
+	is.NoErr(j.Validate())
+	data, err := codec.CBOR.Marshal(j)
+	is.NoErr(err)
+	is.True(len(data) < maxValue)
+	var read task.Job
+	is.NoErr(cbor.Unmarshal(data, &read))
+	is.Equal(read, j)
+}
--- a/lib/task/task.go
+++ b/lib/task/task.go
@@ -81,41 +81,44 @@
 }
 
 // Step is a set of identical tasks of a job.
+//
+// Fields that are zero are not encoded. A job can have 10,000 steps, and its record would
+// exceed the size of a value in the platform's store.
 type Step struct {
-	Tasks  int
-	Demand unit.Resources
+	Tasks  int            `cbor:"Tasks,omitempty"`
+	Demand unit.Resources `cbor:"Demand,omitzero"`
 	// Estimate is the submitter's estimate of the run time of one task. It is often wrong
 	// by a large factor, and may be zero.
-	Estimate time.Duration
+	Estimate time.Duration `cbor:"Estimate,omitempty"`
 	// After lists the indexes of the steps whose tasks must all be done first.
-	After []int
+	After []int `cbor:"After,omitempty"`
 	// Gang means that the tasks only run all together.
-	Gang bool
+	Gang bool `cbor:"Gang,omitempty"`
 	// SameRack means that the tasks run much longer when spread over racks.
-	SameRack bool
+	SameRack bool `cbor:"SameRack,omitempty"`
 	// Checkpoints means that the tasks save their progress, so that a new run continues
 	// from the last checkpoint.
-	Checkpoints bool
+	Checkpoints bool `cbor:"Checkpoints,omitempty"`
 	// Label is a label that a worker must have to run the tasks; empty means no
 	// requirement.
-	Label string
+	Label string `cbor:"Label,omitempty"`
 	// DataRack is the rack of the tasks' data, or empty. The tasks run much longer on any
 	// other rack.
-	DataRack id.Rack
+	DataRack id.Rack `cbor:"DataRack,omitempty"`
 	// MaxPerWorker bounds the tasks of the step on one worker; zero means no bound.
-	MaxPerWorker int
+	MaxPerWorker int `cbor:"MaxPerWorker,omitempty"`
 	// Service marks tasks that run until the job is cancelled.
-	Service bool
+	Service bool `cbor:"Service,omitempty"`
 	// MaxUnavailable is the number of tasks of a Service step that the scheduler may
 	// make unavailable at the same time; zero means no bound.
-	MaxUnavailable int `cbor:"MaxAway"`
+	MaxUnavailable int `cbor:"MaxAway,omitempty"`
 	// TailTarget bounds the tail latency that the users of a Service task see; zero
 	// means no bound.
-	TailTarget time.Duration
+	TailTarget time.Duration `cbor:"TailTarget,omitempty"`
 	// BestEffort means that the tasks use the processor time that other tasks leave
 	// idle: their cores do not count against a worker's capacity, and their pace may be
 	// lowered.
-	BestEffort bool `cbor:"Fills"`
+	BestEffort bool `cbor:"Fills,omitempty"`
 }
 
 // Reserved returns the part of a worker's capacity that one task occupies.
@@ -151,14 +154,36 @@
 	Admitted Queue
 }
 
-// stepMemory is what a decoded step takes until its job has been processed.
-const stepMemory = 512 * unit.Bytes(1)
+const (
+	// stepSize is the size of a Step in a slice with spare capacity.
+	stepSize unit.Bytes = 192
+	// stepMemory is what a step takes beyond its size while it is decoded and encoded.
+	stepMemory unit.Bytes = 320
+	indexSize  unit.Bytes = 8
+)
 
-// Memory returns what a decoded job takes until it has been processed.
-func (j *Job) Memory() unit.Bytes {
-	return unit.Bytes(len(j.Spec)) + unit.Bytes(len(j.Steps))*stepMemory
+// Size returns what the fields of a job take.
+func (j *Job) Size() unit.Bytes {
+	size := unit.Bytes(len(j.Spec)) + unit.Bytes(len(j.Steps))*stepSize
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		size += unit.Bytes(len(s.Label)+len(s.DataRack)) + unit.Bytes(len(s.After))*indexSize
+	}
+	return size
 }
 
+// TaskCount returns the number of tasks of one occurrence.
+func (j *Job) TaskCount() int {
+	n := 0
+	for i := range j.Steps {
+		n += j.Steps[i].Tasks
+	}
+	return n
+}
+
+// Memory returns what a decoded job takes until it has been processed.
+func (j *Job) Memory() unit.Bytes { return j.Size() + unit.Bytes(len(j.Steps))*stepMemory }
+
 // Validate returns an error for the first invalid field of a submitted job.
 func (j Job) Validate() error {
 	invalid := func(field, value, limit, remedy string) error {
--- /dev/null
+++ b/standin/crowd/accepted_test.go
@@ -0,0 +1,117 @@
+//go:build crowd
+
+package crowd_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"bronzewinch.dev/standin/cooperative"
+)
+
+// The crowds of this file submit valid jobs of legal size and wait for the replies. What
+// they leave behind is in the owner, in the store, in the next owner and in the nodes that
+// pass the calls on.
+
+// crowdClients is fewer than the connections that the nodes allow, so that each client
+// keeps its connection and gets replies.
+const crowdClients = 40
+
+// hopelessStep is a step that no worker can run, so that its job stays.
+const hopelessStep = `{"count":1,"gpu":1000,"cpu":500,"mem_mb":256,"estimate_ms":60000}`
+
+// largeSpec is a job of legal size of which the spec is the most.
+func largeSpec() submitters {
+	const size = 250 << 10
+	head, tail := `{"spec":"`, `","steps":[`+hopelessStep+`]}`
+	return submitters{clients: crowdClients, rounds: 25, body: []byte(head + strings.Repeat("x", size-len(head)-len(tail)) + tail)}
+}
+
+// largeLabel is a job of legal size of which the label of a step is the most.
+func largeLabel() submitters {
+	const size = 250 << 10
+	head, tail := `{"spec":"s","steps":[{"count":1,"gpu":1,"constraints":"`, `"}]}`
+	return submitters{clients: crowdClients, rounds: 25, body: []byte(head + strings.Repeat("x", size-len(head)-len(tail)) + tail)}
+}
+
+// manyTasks is a job of legal size with as many tasks as a job may have, in one step.
+func manyTasks() submitters {
+	return submitters{clients: crowdClients, rounds: 5,
+		body:  []byte(`{"spec":"s","steps":[{"count":10000,"gpu":1,"cpu":500,"mem_mb":256,"estimate_ms":60000}]}`),
+		steps: []cooperative.Step{{Count: 10000, GPU: 1, RunTime: time.Hour}}}
+}
+
+// smallJobs are jobs like those of ordinary clients, many of them.
+func smallJobs() submitters {
+	return submitters{clients: crowdClients, rounds: 600, body: []byte(`{"spec":"s","steps":[` + hopelessStep + `]}`), secondAccount: true}
+}
+
+// TestAcceptedJobs guards against accepted jobs that take the memory or the processor time
+// of the owner, and of the one that loads them after the loss of all nodes.
+func TestAcceptedJobs(t *testing.T) {
+	for name, c := range map[string]submitters{"large specs": largeSpec(), "large labels": largeLabel(), "many tasks": manyTasks(), "small": smallJobs()} {
+		t.Run(name, func(t *testing.T) {
+			s := startSite(t, 1)
+			accepted := s.submit(s.Nodes[0], c)
+			if len(accepted) == 0 {
+				t.Error("no job was accepted; a single one is served in calm")
+			}
+			s.check(s.Nodes[0])
+			s.checkKept(s.Nodes[0], c, accepted)
+			s.replaceAll()
+			s.check(s.Nodes[0])
+			s.checkKept(s.Nodes[0], c, accepted)
+		})
+	}
+}
+
+// TestAcceptedJobsThroughFollower guards against submissions that take the memory of a node
+// that passes them on, or more of the owner's than those of its own clients, and against an
+// owner that can't take over what an earlier one has accepted.
+func TestAcceptedJobsThroughFollower(t *testing.T) {
+	for name, c := range map[string]submitters{"large specs": largeSpec()} {
+		t.Run(name, func(t *testing.T) {
+			s := startSite(t, 3)
+			via := s.follower()
+			accepted := s.submit(via, c)
+			s.check(via)
+			s.checkKept(via, c, accepted)
+			s.replace(s.owner())
+			s.check(via)
+			s.checkKept(via, c, accepted)
+		})
+	}
+}
+
+// TestEndedJobs guards against jobs that take memory after their end: their state stays
+// available for some minutes, and clients can end them as fast as they submit them.
+func TestEndedJobs(t *testing.T) {
+	small, large := smallJobs(), largeSpec()
+	small.cancel, large.cancel = true, true
+	for name, c := range map[string]submitters{"small": small, "large specs": large} {
+		t.Run(name, func(t *testing.T) {
+			s := startSite(t, 1)
+			accepted := s.submit(s.Nodes[0], c)
+			s.check(s.Nodes[0])
+			s.checkKept(s.Nodes[0], c, accepted)
+			s.replaceAll()
+			s.check(s.Nodes[0])
+		})
+	}
+}
+
+// TestSingleLargeJob guards against limits that refuse a job inside the platform's limits
+// when nothing else is held.
+func TestSingleLargeJob(t *testing.T) {
+	for name, c := range map[string]submitters{"large spec": largeSpec(), "large label": largeLabel(), "many tasks": manyTasks()} {
+		t.Run(name, func(t *testing.T) {
+			s := startSite(t, 1)
+			c.clients, c.rounds = 1, 1
+			if accepted := s.submit(s.Nodes[0], c); len(accepted) != 1 {
+				t.Error("the only job was not accepted")
+			}
+			s.check(s.Nodes[0])
+		})
+	}
+}
