Bound the time of a pass over jobs of many steps

What callers saw: 504 to an ordinary submission in 5 of 5 attempts while jobs of 2,500 steps that need nothing of each other waited, and to everybody after a single job of 10,000 steps. Memory stayed within the limits for the former.

Cause: for each step that could start, the pass computed the expected run time of the longest chain of its job again, twice, over all its steps, and compared the step with all workers. A dependency on a step looked at all tasks of that step each time.

Change: the longest chain is kept until expected run times change; a group that needs as much as one that did not fit is not tried again in the pass; a pass tries at most 8 steps of a job in vain, and 256 more of all jobs, and the next pass goes on from there; steps count their groups that are not done; repeated dependencies are removed; predictions that are kept are bounded, as each step can have an estimate of its own. A pass changes no decision on jobs of up to 8 waiting steps.

On the code before, the crowds of many steps, most steps and many dependencies got 504 for the ordinary request in TestAcceptedJobs, TestAcceptedJobsThroughFollower or TestSingleLargeJob; now they pass.

--- a/lib/controller/backlog.go
+++ b/lib/controller/backlog.go
@@ -11,6 +11,7 @@
 	if err := e.Job.Validate(); err != nil {
 		return Reply{Outcome: Malformed, Detail: err.Error()}, false
 	}
+	e.Job.CompactDependencies()
 	if s.backlog == nil {
 		return Reply{}, true
 	}
--- a/lib/planner/bench_test.go
+++ b/lib/planner/bench_test.go
@@ -76,3 +76,26 @@
 	}
 	return p, now
 }
+
+// BenchmarkPlanManySteps measures a pass over jobs whose steps need nothing of each other and
+// don't fit.
+func BenchmarkPlanManySteps(b *testing.B) {
+	p, now := newLargeFleet(b, 50, 0)
+	for n := range 10 {
+		j := wideJob(id.Job(fmt.Sprintf("%016x", n)), 1)
+		for range 2499 {
+			j.Steps = append(j.Steps, j.Steps[0])
+		}
+		if err := p.Submit(now, j); err != nil {
+			b.Fatal(err)
+		}
+	}
+	p.Plan(now)
+	p.TakeChanges()
+	for b.Loop() {
+		now = now.Add(10 * time.Millisecond)
+		p.Tick(now)
+		p.Plan(now)
+		p.TakeChanges()
+	}
+}
--- a/lib/planner/job.go
+++ b/lib/planner/job.go
@@ -20,6 +20,7 @@
 	openOccurrences []*occurrence // occurrences that have become due and are not complete
 	nextOccurrence  int           // number of the next occurrence to open
 	memory          unit.Bytes    // what it is counted for
+	path            criticalPath
 }
 
 type occurrence struct {
@@ -27,6 +28,8 @@
 	due       time.Time
 	steps     [][]*group
 	remaining int             // groups that are not done
+	undone    []int           // the same by step
+	resumeAt  int             // step with which the next pass begins
 	advice    map[int]*advice // by step, for queues with advice
 }
 
@@ -180,7 +183,7 @@
 }
 
 func newOccurrence(j *job, number int, due time.Time) *occurrence {
-	o := &occurrence{number: number, due: due}
+	o := &occurrence{number: number, due: due, undone: make([]int, 0, len(j.Steps)), steps: make([][]*group, 0, len(j.Steps))}
 	for i, s := range j.Steps {
 		var groups []*group
 		if s.Gang {
@@ -191,6 +194,7 @@
 			}
 		}
 		o.remaining += len(groups)
+		o.undone = append(o.undone, len(groups))
 		o.steps = append(o.steps, groups)
 	}
 	return o
@@ -199,24 +203,28 @@
 // stepReady reports whether all steps that s depends on are done.
 func (o *occurrence) stepReady(s task.Step) bool {
 	for _, before := range s.After {
-		for _, g := range o.steps[before] {
-			if !g.done {
-				return false
-			}
+		if o.undone[before] > 0 {
+			return false
 		}
 	}
 	return true
 }
 
+// markDone records that a group of the occurrence is done.
+func (o *occurrence) markDone(g *group) {
+	g.done = true
+	o.remaining--
+	o.undone[g.stepIndex]--
+}
+
 // completeGroup marks a group as done, and completes its occurrence and its job if
 // all their other groups are done.
 func (p *Planner) completeGroup(now time.Time, g *group) {
 	if g.done {
 		return
 	}
-	g.done = true
 	o, j := g.occurrence, g.job
-	o.remaining--
+	o.markDone(g)
 	p.markDirty(j)
 	for i, s := range j.Steps {
 		if slices.Contains(s.After, g.stepIndex) {
@@ -344,12 +352,11 @@
 
 func (p *Planner) restoreGroup(now, leaseExpiry time.Time, g *group, stored task.GroupProgress) {
 	// Earlier versions stored service tasks as done if a late report said so.
-	g.done = stored.Done && !g.step().Service
+	if stored.Done && !g.step().Service {
+		g.occurrence.markDone(g)
+	}
 	g.run, g.failures, g.checkpoint, g.unseenEnds = stored.Run, stored.Failures, stored.Checkpoint, stored.UnseenEnds
 	g.startedAt, g.restored = now, true
-	if g.done {
-		g.occurrence.remaining--
-	}
 	g.job.started = g.job.started || g.done || len(stored.Placements) > 0
 	for _, placement := range stored.Placements {
 		w := p.ensureWorker(placement.Worker)
--- a/lib/planner/plan.go
+++ b/lib/planner/plan.go
@@ -35,6 +35,8 @@
 	racks    map[eligibility][]rackSet // the same by rack
 	choices  []choice                  // for reuse
 	trials   int                       // preemptions that were planned
+	misfits  []misfit
+	vain     int // attempts to place a group that failed
 }
 
 // eligibility is the part of a step's conditions that the service and the labels of a
@@ -204,8 +206,23 @@
 	return from.Add(time.Duration(j.queue.Slack*float64(p.criticalPath(j))) + j.queue.Target)
 }
 
-// criticalPath is the expected run time of a job's longest chain of dependent steps.
+// criticalPath is the expected run time of a job's longest chain of dependent steps. It is
+// computed again when the expected run times have changed.
+type criticalPath struct {
+	known    bool
+	version  uint64 // of the expected run times
+	duration time.Duration
+}
+
 func (p *Planner) criticalPath(j *job) time.Duration {
+	if version := p.runTimes.version; !j.path.known || j.path.version != version {
+		j.path = criticalPath{known: true, version: version, duration: p.longestChain(j)}
+	}
+	return j.path.duration
+}
+
+// longestChain returns the expected run time of a job's longest chain of dependent steps.
+func (p *Planner) longestChain(j *job) time.Duration {
 	ends := make([]time.Duration, len(j.Steps))
 	var longest time.Duration
 	for i, s := range j.Steps {
@@ -219,29 +236,54 @@
 	return longest
 }
 
+// maxVainSteps bounds the steps of a job that are tried in vain in a pass, and maxVainAttempts
+// those of all jobs beyond it. A job can have 10,000 steps that need nothing of each other,
+// and callers wait for the end of the pass.
+const (
+	maxVainSteps    = 8
+	maxVainAttempts = 256
+)
+
+// placeJob starts the groups of a job that fit. If too many steps don't fit, the next pass
+// begins with those that were not tried.
 func (ps *pass) placeJob(j *job) {
+	vain := 0
 	for _, o := range j.openOccurrences {
-		for i, s := range j.Steps {
-			if !o.stepReady(s) {
+		first := o.resumeAt
+		o.resumeAt = 0
+		for n := range j.Steps {
+			i := (first + n) % len(j.Steps)
+			if !o.stepReady(j.Steps[i]) || ps.placeStep(j, o, i) {
 				continue
 			}
-			for _, g := range o.steps[i] {
-				if g.idle() && !ps.placeGroup(g) {
-					if j.queue.Advised {
-						ps.requestAdvice(g)
-					}
-					break // the other tasks of the step need the same resources
-				}
+			ps.vain++
+			if vain++; vain >= maxVainSteps && ps.vain >= maxVainAttempts {
+				o.resumeAt = (i + 1) % len(j.Steps)
+				return
 			}
 		}
 	}
 }
 
+// placeStep starts the idle groups of a step. It returns false if one does not fit.
+func (ps *pass) placeStep(j *job, o *occurrence, step int) bool {
+	for _, g := range o.steps[step] {
+		if g.idle() && !ps.placeGroup(g) {
+			if j.queue.Advised {
+				ps.requestAdvice(g)
+			}
+			return false // the other tasks of the step need the same resources
+		}
+	}
+	return true
+}
+
 // placeGroup starts a group if it fits. Otherwise, if the group may preempt other
 // work, it reserves capacity that is being freed, or preempts runs and reserves
 // theirs; a later pass starts the group when they have ended. It returns false when
 // the group has to leave headroom, or has no capacity now and none is being freed.
 func (ps *pass) placeGroup(g *group) bool {
+	const notEnoughCapacity = "not enough free capacity"
 	freeNow := func(c *candidate) unit.Resources { return minResources(c.free, c.freeLater) }
 	freeLater := func(c *candidate) unit.Resources { return c.freeLater }
 	sets, remote := ps.candidateSets(g)
@@ -249,6 +291,10 @@
 		ps.logWaiting(g, "headroom is kept for jobs of the first priority")
 		return false
 	}
+	if ps.isMisfit(g) {
+		ps.logWaiting(g, notEnoughCapacity)
+		return false
+	}
 	for _, set := range sets {
 		if targets := pack(g, set, ps, freeNow); targets != nil {
 			ps.startGroup(g, targets)
@@ -274,7 +320,8 @@
 		} else if g.needsRack() {
 			ps.logWaiting(g, "no rack has enough free capacity", "remoteAfterMs", ps.remoteWait(g).Milliseconds())
 		} else {
-			ps.logWaiting(g, "not enough free capacity")
+			ps.addMisfit(g)
+			ps.logWaiting(g, notEnoughCapacity)
 		}
 		return false
 	}
--- a/lib/planner/runtime.go
+++ b/lib/planner/runtime.go
@@ -14,12 +14,16 @@
 	refreshInterval = time.Second
 	// snapshotInterval is the least time between two snapshots of the expected run times.
 	snapshotInterval = 10 * time.Second
+	// maxKnown bounds the predictions that are kept. Each step of a job may have an
+	// estimate of its own.
+	maxKnown = 4096
 )
 
 // expectations holds the expected run times of tasks.
 type expectations struct {
 	RunTimes
 	known       map[predict.Subject]predict.Prediction // since the last refresh
+	version     uint64                                 // rises with each refresh
 	refreshedAt time.Time
 	refreshed   uint64 // runs that had been learned then
 	snapshotAt  time.Time
@@ -40,12 +44,16 @@
 	}
 	e.refreshedAt, e.refreshed = now, e.Learned()
 	clear(e.known)
+	e.version++
 }
 
 func (e *expectations) predict(s predict.Subject) predict.Prediction {
 	known, ok := e.known[s]
 	if !ok {
 		known = e.Predict(s)
+		if len(e.known) >= maxKnown {
+			clear(e.known)
+		}
 		e.known[s] = known
 	}
 	return known
@@ -122,5 +130,6 @@
 		reason = "not restored; what earlier owners have learned is lost: " + err.Error()
 	}
 	p.runTimes.snapshot = p.runTimes.Learned()
+	p.runTimes.version++
 	p.logDecision(Decision{Event: "runTimes", Reason: reason, Fields: []any{"runs", p.runTimes.Learned()}})
 }
--- a/lib/planner/sets.go
+++ b/lib/planner/sets.go
@@ -37,7 +37,7 @@
 
 // eligibleForStep returns the candidates that may receive tasks of a group's step.
 func (ps *pass) eligibleForStep(g *group) (all []*candidate) {
-	key := eligibility{g.job.queue.Service, g.step().Label}
+	key := eligibilityOf(g)
 	if !g.limitedPerWorker() {
 		if all, ok := ps.eligible[key]; ok {
 			return all
@@ -88,7 +88,7 @@
 
 // byRack groups candidates by rack, in the order of their first candidate.
 func (ps *pass) byRack(g *group, all []*candidate) []rackSet {
-	key := eligibility{g.job.queue.Service, g.step().Label}
+	key := eligibilityOf(g)
 	shared := !g.limitedPerWorker() && len(g.failedOn) == 0
 	if racks, ok := ps.racks[key]; ok && shared {
 		return racks
--- a/lib/task/task.go
+++ b/lib/task/task.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -184,6 +185,18 @@
 // Memory returns what a decoded job takes until it has been processed.
 func (j *Job) Memory() unit.Bytes { return j.Size() + unit.Bytes(len(j.Steps))*stepMemory }
 
+// CompactDependencies removes repetitions of the steps that a step depends on.
+func (j *Job) CompactDependencies() {
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		sorted := slices.Clone(s.After)
+		slices.Sort(sorted)
+		if sorted = slices.Compact(sorted); len(sorted) < len(s.After) {
+			s.After = slices.Clip(sorted)
+		}
+	}
+}
+
 // Validate returns an error for the first invalid field of a submitted job.
 func (j Job) Validate() error {
 	invalid := func(field, value, limit, remedy string) error {
--- a/standin/crowd/accepted_test.go
+++ b/standin/crowd/accepted_test.go
@@ -35,6 +35,28 @@
 	return submitters{clients: crowdClients, rounds: 25, body: []byte(head + strings.Repeat("x", size-len(head)-len(tail)) + tail)}
 }
 
+// manySteps is a job whose steps need nothing of each other.
+func manySteps() submitters {
+	const steps = 2500
+	const step = `{"count":1,"gpu":1,"cpu":500,"mem_mb":256,"estimate_ms":60000}`
+	c := submitters{clients: crowdClients, rounds: 3, body: []byte(`{"spec":"s","steps":[` + strings.Repeat(step+",", steps-1) + step + `]}`)}
+	for range steps {
+		c.steps = append(c.steps, cooperative.Step{Count: 1, GPU: 1, RunTime: time.Hour})
+	}
+	return c
+}
+
+// mostSteps is a job of legal size with as many steps as a job may have.
+func mostSteps() submitters {
+	const steps = 10000
+	const step = `{"count":1,"gpu":1}`
+	c := submitters{clients: crowdClients, rounds: 2, body: []byte(`{"spec":"s","steps":[` + strings.Repeat(step+",", steps-1) + step + `]}`)}
+	for range steps {
+		c.steps = append(c.steps, cooperative.Step{Count: 1, GPU: 1, RunTime: time.Hour})
+	}
+	return c
+}
+
 // manyTasks is a job of legal size with as many tasks as a job may have, in one step.
 func manyTasks() submitters {
 	return submitters{clients: crowdClients, rounds: 5,
@@ -42,6 +64,15 @@
 		steps: []cooperative.Step{{Count: 10000, GPU: 1, RunTime: time.Hour}}}
 }
 
+// manyDependencies is a job whose steps each name an earlier step many times.
+func manyDependencies() submitters {
+	const steps = 400
+	after := strings.TrimSuffix(strings.Repeat("0,", 250), ",")
+	body := `{"spec":"s","steps":[{"count":5000,"gpu":1000,"cpu":500,"mem_mb":256}` +
+		strings.Repeat(`,{"count":1,"gpu":1,"after":[`+after+`]}`, steps) + `]}`
+	return submitters{clients: crowdClients, rounds: 2, body: []byte(body)}
+}
+
 // smallJobs are jobs like those of ordinary clients, many of them.
 func smallJobs() submitters {
 	return submitters{clients: crowdClients, rounds: 600, body: []byte(`{"spec":"s","steps":[` + hopelessStep + `]}`), secondAccount: true}
@@ -50,7 +81,8 @@
 // TestAcceptedJobs guards against accepted jobs that take the memory or the processor time
 // of the owner, and of the one that loads them after the loss of all nodes.
 func TestAcceptedJobs(t *testing.T) {
-	for name, c := range map[string]submitters{"large specs": largeSpec(), "large labels": largeLabel(), "many tasks": manyTasks(), "small": smallJobs()} {
+	for name, c := range map[string]submitters{"large specs": largeSpec(), "large labels": largeLabel(), "many steps": manySteps(),
+		"most steps": mostSteps(), "many tasks": manyTasks(), "many dependencies": manyDependencies(), "small": smallJobs()} {
 		t.Run(name, func(t *testing.T) {
 			s := startSite(t, 1)
 			accepted := s.submit(s.Nodes[0], c)
@@ -70,7 +102,7 @@
 // that passes them on, or more of the owner's than those of its own clients, and against an
 // owner that can't take over what an earlier one has accepted.
 func TestAcceptedJobsThroughFollower(t *testing.T) {
-	for name, c := range map[string]submitters{"large specs": largeSpec()} {
+	for name, c := range map[string]submitters{"large specs": largeSpec(), "many steps": manySteps()} {
 		t.Run(name, func(t *testing.T) {
 			s := startSite(t, 3)
 			via := s.follower()
@@ -104,7 +136,8 @@
 // TestSingleLargeJob guards against limits that refuse a job inside the platform's limits
 // when nothing else is held.
 func TestSingleLargeJob(t *testing.T) {
-	for name, c := range map[string]submitters{"large spec": largeSpec(), "large label": largeLabel(), "many tasks": manyTasks()} {
+	for name, c := range map[string]submitters{"large spec": largeSpec(), "large label": largeLabel(), "many steps": manySteps(),
+		"most steps": mostSteps(), "many tasks": manyTasks(), "many dependencies": manyDependencies()} {
 		t.Run(name, func(t *testing.T) {
 			s := startSite(t, 1)
 			c.clients, c.rounds = 1, 1
