--- a/standin/crowd/site_test.go
+++ b/standin/crowd/site_test.go
@@ -108,6 +108,14 @@
 	return nil
 }
 
+// rest waits until no node uses processor time for what a crowd has sent.
+func (s *site) rest() {
+	s.t.Helper()
+	for _, pid := range s.pids {
+		awaitRest(s.t, pid)
+	}
+}
+
 // check lets an ordinary client submit a job at a node, and checks that all processes live
 // within their limits.
 func (s *site) check(via *cooperative.Node) {
@@ -293,3 +301,46 @@
 	s.t.Logf("submissions by status: %v", statuses)
 	return accepted
 }
+
+// dialer opens the connections of a crowd.
+type dialer interface {
+	Dial(network, address string) (net.Conn, error)
+}
+
+// openClients opens connections from a crowd to an address, lets each client send, and
+// leaves the connections open until the end of the test. Connections that are refused are
+// left out.
+func openClients(t *testing.T, address string, clients int, d dialer, send func(net.Conn) error) {
+	t.Helper()
+	var wg sync.WaitGroup
+	for range clients {
+		conn, err := d.Dial("tcp", address)
+		if err != nil {
+			continue // a listener may refuse a crowd
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		wg.Go(func() {
+			_ = conn.SetDeadline(time.Now().Add(sendTimeout))
+			_ = send(conn) // the node may refuse or close the connection
+		})
+	}
+	wg.Wait()
+}
+
+// stopTimeout bounds a planned stop. It is far more than the six seconds after which the
+// platform kills a process.
+const stopTimeout = 30 * time.Second
+
+// roll stops a node in a planned way and starts it again.
+func (s *site) roll(n *cooperative.Node) {
+	s.t.Helper()
+	select {
+	case <-n.Signal(syscall.SIGTERM):
+	case <-time.After(stopTimeout):
+		s.t.Fatalf("%s has not ended %v after SIGTERM", n.Name, stopTimeout)
+	}
+	if err := n.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+	s.awaitReady()
+}
