Close connections of clients that don't take their replies

What callers saw: nothing at first; a client that sends requests and never reads the replies kept its connection for good, beyond the number of connections that the node allows, until the node had no descriptors left. 400 such clients of the metrics, one after the other, held 419 descriptors of 400; those of the clients' listener 342, where 50 connections are allowed.

Cause: a connection with a complete request gave way to no other, also while its reply was written, no server had a time limit for writing, and a new connection for which none could be closed was accepted all the same.

--- a/lib/budget/budget.go
+++ b/lib/budget/budget.go
@@ -47,9 +47,38 @@
 type holding struct {
 	client     Client
 	bytes      unit.Bytes
-	progressAt time.Time // when the client last sent something
-	complete   bool      // its request has been read completely
-	evicted    bool      // it has been chosen to give way
+	progressAt time.Time // when the client last sent something, or last took some of a reply
+	phase      Phase
+	evicted    bool // it has been chosen to give way
+}
+
+// Phase is what a connection waits for.
+type Phase int
+
+// The phases of a connection.
+const (
+	// Reading means that the client has to send a request.
+	Reading Phase = iota
+	// Processing means that the request has been read completely. The connection gives way
+	// to no other.
+	Processing
+	// Replying means that the client has to take the reply.
+	Replying
+)
+
+// minReplyTime is the time that a client always has to take some of a reply. An ordinary
+// client takes far less.
+const minReplyTime = 100 * time.Millisecond
+
+// mayGiveWay reports whether the connection may be closed for others.
+func (h holding) mayGiveWay(now time.Time) bool {
+	switch h.phase {
+	case Processing:
+		return false
+	case Replying:
+		return now.Sub(h.progressAt) >= minReplyTime
+	}
+	return true
 }
 
 // New returns a Budget without holders.
@@ -64,7 +93,7 @@
 func (b *Budget) Connections() int { return int(b.connections.Load()) }
 
 // Open adds the connection of a client. It returns the connections that have to be closed
-// for it.
+// for it. If none can be, it is the new one.
 func (b *Budget) Open(now time.Time, c Client) (Holder, []Holder) {
 	id := Holder(b.last.Add(1))
 	b.holders.Set(id, holding{client: c, progressAt: now})
@@ -77,7 +106,7 @@
 	for b.Connections() > b.config.Connections {
 		worst, ok := b.choose(now, byConnections, id)
 		if !ok {
-			break
+			worst = id
 		}
 		b.evict(worst)
 		evicted = append(evicted, worst)
@@ -96,7 +125,8 @@
 	})
 }
 
-// Progress records that the client of a connection has sent something.
+// Progress records that the client of a connection has sent something, or has taken some of
+// a reply.
 func (b *Budget) Progress(now time.Time, id Holder) {
 	b.holders.Update(id, func(h holding, ok bool) (holding, bool) {
 		h.progressAt = now
@@ -104,12 +134,10 @@
 	})
 }
 
-// Complete records that the request of a connection has been read completely, or with
-// false, that the next one is awaited. A connection with a complete request gives way to
-// no other.
-func (b *Budget) Complete(now time.Time, id Holder, complete bool) {
+// SetPhase records that a connection enters a phase.
+func (b *Budget) SetPhase(now time.Time, id Holder, p Phase) {
 	b.holders.Update(id, func(h holding, ok bool) (holding, bool) {
-		h.complete, h.progressAt = complete, now
+		h.phase, h.progressAt = p, now
 		return h, ok
 	})
 }
@@ -195,8 +223,8 @@
 )
 
 // choose returns the connection that gives way first: of the client that holds the most,
-// the one with the most weight. It leaves out one connection, and those with a complete
-// request. It returns false if none is left.
+// the one with the most weight. It leaves out one connection, and those that may not give
+// way now. It returns false if none is left.
 func (b *Budget) choose(now time.Time, c criterion, except Holder) (Holder, bool) {
 	clients := make(map[Client]usage)
 	b.holders.Range(func(_ Holder, h holding) bool {
@@ -210,7 +238,7 @@
 	var bestHolding holding
 	found := false
 	b.holders.Range(func(id Holder, h holding) bool {
-		if id == except || h.evicted || h.complete {
+		if id == except || h.evicted || !h.mayGiveWay(now) {
 			return true
 		}
 		order := c.clients(clients[h.client], clients[bestHolding.client])
--- a/lib/budget/budget_test.go
+++ b/lib/budget/budget_test.go
@@ -58,7 +58,7 @@
 	fast := hold("a", start.Add(9*time.Second), 40)
 	slow := hold("a", start, 30)
 	served := hold("b", start, 20)
-	b.Complete(start, served, true)
+	b.SetPhase(start, served, budget.Processing)
 	next, _ := b.Open(start.Add(10*time.Second), "c")
 	evicted, ok := b.Hold(start.Add(10*time.Second), next, 20)
 	is.True(ok)
@@ -89,6 +89,27 @@
 	is.Equal(b.Connections(), 3)
 }
 
+// TestUnreadRepliesGiveWay guards against clients that don't take their replies and hold
+// connections until nobody else gets one, and against a reply that is broken off although
+// its client takes it.
+func TestUnreadRepliesGiveWay(t *testing.T) {
+	is := is.New(t)
+	b := budget.New(budget.Config{Memory: unit.MiB, Connections: 3})
+	unread, _ := b.Open(start, "crowd")
+	b.SetPhase(start, unread, budget.Replying)
+	processed, _ := b.Open(start, "crowd")
+	b.SetPhase(start, processed, budget.Processing)
+	now := start.Add(time.Second)
+	prompt, _ := b.Open(now, "ordinary")
+	b.SetPhase(now, prompt, budget.Replying)
+	next, evicted := b.Open(now, "ordinary")
+	is.Equal(evicted, []budget.Holder{unread})
+	b.SetPhase(now, next, budget.Processing)
+	last, evicted := b.Open(now, "ordinary")
+	is.Equal(evicted, []budget.Holder{last}) // no other may be closed, so the new one is
+	is.Equal(b.Connections(), 3)
+}
+
 // TestCountsStayExact guards against bytes or connections that stay counted after their
 // holder has gone, until nobody is served any more.
 func TestCountsStayExact(t *testing.T) {
@@ -107,7 +128,7 @@
 			case 0:
 				b.Close(id)
 			case 1:
-				b.Complete(now, id, rapid.Bool().Draw(t, "complete"))
+				b.SetPhase(now, id, rapid.SampledFrom([]budget.Phase{budget.Reading, budget.Processing, budget.Replying}).Draw(t, "phase"))
 			default:
 				b.Hold(now, id, unit.Bytes(rapid.IntRange(0, 600).Draw(t, "bytes")))
 			}
--- a/lib/httpguard/guard.go
+++ b/lib/httpguard/guard.go
@@ -8,7 +8,6 @@
 	"context"
 	"crypto/tls"
 	"errors"
-	"fmt"
 	"io"
 	"log"
 	"net"
@@ -17,13 +16,12 @@
 	"time"
 
 	"bronzewinch.dev/lib/budget"
+	"bronzewinch.dev/lib/netguard"
 	"bronzewinch.dev/lib/problem"
-	"bronzewinch.dev/lib/shard"
 	"bronzewinch.dev/lib/timer"
 	"bronzewinch.dev/lib/unit"
 
 	"github.com/VictoriaMetrics/metrics"
-	"k8s.io/klog/v2"
 )
 
 // Config configures a Guard.
@@ -37,6 +35,9 @@
 	// HeadTimeout and BodyTimeout bound the time in which a client must send the head and
 	// the body. IdleTimeout bounds the time between two requests.
 	HeadTimeout, BodyTimeout, IdleTimeout time.Duration
+	// WriteTimeout bounds the time in which a client must take a reply. It starts with the
+	// reply. Zero means that the handler sets a time itself.
+	WriteTimeout time.Duration
 	// Memory and Connections bound what all clients hold together.
 	Memory      unit.Bytes
 	Connections int
@@ -89,22 +90,13 @@
 // Guard bounds what the clients of one HTTP server take.
 type Guard struct {
 	config Config
-	budget *budget.Budget
-	conns  *shard.Map[budget.Holder, *conn]
-
-	mu       sync.Mutex
-	loggedAt time.Time
+	net    *netguard.Guard
 }
 
 // New returns a Guard.
 func New(c Config) *Guard {
-	g := &Guard{config: c, budget: budget.New(budget.Config{Memory: c.Memory, Connections: c.Connections}),
-		conns: shard.NewMap[budget.Holder, *conn]()}
-	c.Metrics.NewGauge(fmt.Sprintf("bronzewinch_client_connections{listener=%q}", c.Name),
-		func() float64 { return float64(g.budget.Connections()) })
-	c.Metrics.NewGauge(fmt.Sprintf("bronzewinch_client_held_bytes{listener=%q}", c.Name),
-		func() float64 { return float64(g.budget.Held()) })
-	return g
+	return &Guard{config: c, net: netguard.New(netguard.Config{Name: c.Name, Memory: c.Memory, Connections: c.Connections,
+		Timer: c.Timer, Metrics: c.Metrics})}
 }
 
 // NewServer returns an HTTP server with the limits of the guard.
@@ -135,69 +127,8 @@
 }
 
 // Listen returns a listener whose connections are counted.
-func (g *Guard) Listen(l net.Listener) net.Listener { return listener{l, g} }
-
-type listener struct {
-	net.Listener
-	guard *Guard
-}
-
-// Accept accepts a connection and closes those that give way to it.
-func (l listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	host, _, err := net.SplitHostPort(c.RemoteAddr().String())
-	if err != nil {
-		host = c.RemoteAddr().String()
-	}
-	id, evicted := l.guard.budget.Open(l.guard.now(), budget.Client(host))
-	counted := &conn{Conn: c, guard: l.guard, id: id}
-	l.guard.conns.Set(id, counted)
-	l.guard.closeEvicted("connectionClosed", evicted)
-	return counted, nil
-}
-
-func (g *Guard) now() time.Time { return g.config.Timer.Now() }
-
-// pressureLogInterval is the least time between two log lines about closed or refused
-// clients.
-const pressureLogInterval = 10 * time.Second
-
-// count counts clients that were refused or closed for a cause.
-func (g *Guard) count(cause string, n int) {
-	g.config.Metrics.GetOrCreateCounter(fmt.Sprintf("bronzewinch_client_refusals_total{listener=%q,cause=%q}", g.config.Name, cause)).Add(n)
-	now := g.now()
-	g.mu.Lock()
-	due := now.Sub(g.loggedAt) >= pressureLogInterval
-	if due {
-		g.loggedAt = now
-	}
-	g.mu.Unlock()
-	if due {
-		klog.InfoS("clients refused or closed; see the metric for their number", "event", "clients", "listener", g.config.Name,
-			"cause", cause, "connections", g.budget.Connections(), "heldBytes", int64(g.budget.Held()))
-	}
-}
-
-func (g *Guard) closeEvicted(cause string, evicted []budget.Holder) {
-	if len(evicted) == 0 {
-		return
-	}
-	g.count(cause, len(evicted))
-	for _, id := range evicted {
-		if c, ok := g.conns.Get(id); ok {
-			_ = c.Close()
-		}
-	}
-}
-
-// hold sets the bytes that a connection holds, and reports whether it may hold them.
-func (g *Guard) hold(id budget.Holder, bytes unit.Bytes) bool {
-	evicted, ok := g.budget.Hold(g.now(), id, bytes)
-	g.closeEvicted("memoryClosed", evicted)
-	return ok
+func (g *Guard) Listen(l net.Listener) net.Listener {
+	return g.net.Listener(l, func(c *netguard.Conn) netguard.Receiver { return &conn{Conn: c, guard: g} })
 }
 
 const (
@@ -213,10 +144,8 @@
 // conn is a connection of a client. Until the head of a request is read, it counts what
 // the head may take.
 type conn struct {
-	net.Conn
+	*netguard.Conn
 	guard *Guard
-	id    budget.Holder
-	once  sync.Once
 
 	mu        sync.Mutex
 	encrypted bool
@@ -224,42 +153,24 @@
 	head      unit.Bytes // what the present head may take
 }
 
-var errNoMemory = errors.New("the clients of this node hold too much memory")
-
-// Read reads from the client. It fails if the head takes more than is left.
-func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n == 0 {
-		return n, err
-	}
+// Received counts what the client has sent. It returns false if the head takes more than is
+// left.
+func (c *conn) Received(b []byte) bool {
 	c.mu.Lock()
 	inHead := c.inHead
 	switch {
 	case inHead && c.encrypted:
-		c.head += unit.Bytes(n) * encryptedByteCost
+		c.head += unit.Bytes(len(b)) * encryptedByteCost
 	case inHead:
-		c.head += unit.Bytes(n)*headByteCost + unit.Bytes(bytes.Count(p[:n], []byte("\n")))*headLineCost
+		c.head += unit.Bytes(len(b))*headByteCost + unit.Bytes(bytes.Count(b, []byte("\n")))*headLineCost
 	}
 	head := c.head
 	c.mu.Unlock()
-	switch {
-	case !inHead:
-		c.guard.budget.Progress(c.guard.now(), c.id)
-	case !c.guard.hold(c.id, head):
-		c.guard.count("memoryRefused", 1)
-		_ = c.Close()
-		return 0, errNoMemory
+	if !inHead {
+		c.Progress()
+		return true
 	}
-	return n, err
-}
-
-// Close closes the connection and frees what it holds.
-func (c *conn) Close() error {
-	c.once.Do(func() {
-		c.guard.budget.Close(c.id)
-		c.guard.conns.Delete(c.id)
-	})
-	return c.Conn.Close()
+	return c.Hold(head)
 }
 
 // awaitHead begins to count the head of the next request.
@@ -267,8 +178,8 @@
 	c.mu.Lock()
 	c.encrypted, c.inHead, c.head = encrypted, true, 0
 	c.mu.Unlock()
-	c.guard.budget.Complete(c.guard.now(), c.id, false)
-	c.guard.hold(c.id, 0)
+	c.SetPhase(budget.Reading)
+	c.Hold(0)
 }
 
 // endHead ends the count of a head that was read completely. The head counts until its
@@ -287,7 +198,9 @@
 	if t, ok := nc.(*tls.Conn); ok {
 		nc, encrypted = t.NetConn(), true
 	}
-	c, _ = nc.(*conn)
+	if counted, ok := nc.(*netguard.Conn); ok {
+		c, _ = counted.Receiver().(*conn)
+	}
 	return c, encrypted
 }
 
@@ -313,16 +226,56 @@
 // body is complete with its head.
 func (g *Guard) handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c := connOf(r.Context()); c != nil {
-			c.endHead()
-			if r.Body == http.NoBody {
-				g.budget.Complete(g.now(), c.id, true)
-			}
+		c := connOf(r.Context())
+		if c == nil {
+			h.ServeHTTP(w, r)
+			return
+		}
+		c.endHead()
+		if r.Body == http.NoBody {
+			c.SetPhase(budget.Processing)
 		}
-		h.ServeHTTP(w, r)
+		reply := &replyWriter{ResponseWriter: w, guard: g, conn: c}
+		if g.config.WriteTimeout > 0 {
+			_ = http.NewResponseController(w).SetWriteDeadline(time.Time{}) // of the previous reply
+		}
+		h.ServeHTTP(reply, r)
+		reply.begin() // the rest is written after the handler
 	})
 }
 
+// replyWriter observes when the reply to a request begins.
+type replyWriter struct {
+	http.ResponseWriter
+	guard *Guard
+	conn  *conn
+	begun bool
+}
+
+// Unwrap lets http.ResponseController find the methods of the connection.
+func (w *replyWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+func (w *replyWriter) begin() {
+	if w.begun {
+		return
+	}
+	w.begun = true
+	w.conn.SetPhase(budget.Replying)
+	if timeout := w.guard.config.WriteTimeout; timeout > 0 {
+		_ = http.NewResponseController(w.ResponseWriter).SetWriteDeadline(w.guard.net.Now().Add(timeout))
+	}
+}
+
+func (w *replyWriter) WriteHeader(status int) {
+	w.begin()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+func (w *replyWriter) Write(b []byte) (int, error) {
+	w.begin()
+	return w.ResponseWriter.Write(b)
+}
+
 // minBodyBuffer is the size of the buffer with which the read of a body begins.
 const minBodyBuffer = 4 * unit.KiB
 
@@ -334,24 +287,24 @@
 	c := connOf(r.Context())
 	r.Header = http.Header{}
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(g.now().Add(g.config.BodyTimeout))
+	_ = control.SetReadDeadline(g.net.Now().Add(g.config.BodyTimeout))
 	body, err := g.readAll(r)
 	if err != nil {
 		// The rest of the body is not read, so the connection can't be used again.
 		w.Header().Set("Connection", "close")
-		_ = control.SetReadDeadline(g.now())
+		_ = control.SetReadDeadline(g.net.Now())
 		return nil, err
 	}
 	_ = control.SetReadDeadline(time.Time{})
 	if c != nil {
-		g.budget.Complete(g.now(), c.id, true)
+		c.SetPhase(budget.Processing)
 	}
 	return body, nil
 }
 
 func (g *Guard) readAll(r *http.Request) ([]byte, error) {
 	tooLarge := func(size int64) error {
-		g.count("bodySize", 1)
+		g.net.Count("bodySize", 1)
 		return problem.New(problem.Invalid, problem.Detail{Field: "body", Value: unit.Bytes(size).String(),
 			Limit: g.config.BodySize.String(), Remedy: "send a smaller body; this one was not processed"})
 	}
@@ -363,7 +316,7 @@
 	case problem.Is(err, problem.Overloaded):
 		return nil, err
 	case isTimeout(err):
-		g.count("bodyTime", 1)
+		g.net.Count("bodyTime", 1)
 		return nil, problem.New(problem.Expired, problem.Detail{Field: "body", Limit: g.config.BodyTimeout.String(),
 			Remedy: "send the body faster; this one was not processed"})
 	case err != nil:
@@ -384,7 +337,7 @@
 	if r.ContentLength >= 0 {
 		size = min(size, unit.Bytes(r.ContentLength)+1)
 	}
-	if err := c.hold(size); err != nil {
+	if err := c.reserve(size); err != nil {
 		return nil, err
 	}
 	buffer := make([]byte, 0, size)
@@ -400,18 +353,18 @@
 			continue
 		}
 		next := min(2*unit.Bytes(cap(buffer)), limit+1)
-		if err := c.hold(next + unit.Bytes(cap(buffer))); err != nil { // both buffers for a moment
+		if err := c.reserve(next + unit.Bytes(cap(buffer))); err != nil { // both buffers for a moment
 			return nil, err
 		}
 		buffer = append(make([]byte, 0, next), buffer...)
-		_ = c.hold(next) // less than before
+		_ = c.reserve(next) // less than before
 	}
 }
 
-// hold sets the bytes that the connection holds. Requests that came by no connection of a
+// reserve sets the bytes that the connection holds. Requests that came by no connection of a
 // guard are not counted.
-func (c *conn) hold(bytes unit.Bytes) error {
-	if c == nil || c.guard.hold(c.id, bytes) {
+func (c *conn) reserve(bytes unit.Bytes) error {
+	if c == nil || c.Hold(bytes) {
 		return nil
 	}
 	return c.guard.noMemory()
@@ -423,11 +376,11 @@
 }
 
 func (g *Guard) noMemory() error {
-	g.count("memoryRefused", 1)
+	g.net.Count("memoryRefused", 1)
 	return problem.New(problem.Overloaded, problem.Detail{Field: "memory for clients", Limit: g.config.Memory.String(),
 		Remedy: "retry later; the request was not processed"})
 }
 
 // Hold sets what the request that ctx belongs to holds until its response is written. It
 // returns an Overloaded error if that is more than is left.
-func Hold(ctx context.Context, bytes unit.Bytes) error { return connOf(ctx).hold(bytes) }
+func Hold(ctx context.Context, bytes unit.Bytes) error { return connOf(ctx).reserve(bytes) }
--- a/lib/node/node.go
+++ b/lib/node/node.go
@@ -37,6 +37,9 @@
 	maxBodyMemory = 256 * unit.MiB
 	// vmListTimeout limits the time of one read of the VM list.
 	vmListTimeout = 2 * time.Second
+	// operatorWriteTimeout is the time in which an operator must take a reply. Replies can
+	// be long, as those with the decisions of a job.
+	operatorWriteTimeout = time.Minute
 	// peerStopTimeout limits the wait for peer calls in progress when the node stops.
 	peerStopTimeout = 5 * time.Second
 )
@@ -138,20 +141,20 @@
 	s := n.config.Settings
 	n.components.Server.Serve(opened.peers)
 	n.callers = caller.NewServer(n.components.Callers)
-	n.serve("callers", n.callers, opened.callers)
+	n.serve("callers", n.callers, opened.callers, 0) // the frontend bounds the time itself
 	n.operators = &http.Server{
 		Handler: n.components.Operators, ReadTimeout: time.Duration(s.Limits.ReadTimeout),
 		IdleTimeout: time.Duration(s.Limits.IdleTimeout), MaxHeaderBytes: int(s.Limits.HeaderSize),
 	}
-	n.serve("operators", n.operators, opened.operators)
+	n.serve("operators", n.operators, opened.operators, operatorWriteTimeout)
 }
 
 // serve starts an HTTP server on a listener. The guard closes the connections that hold the
 // most when its clients exceed their limits.
-func (n *Node) serve(name string, server *http.Server, l frontListener) {
+func (n *Node) serve(name string, server *http.Server, l frontListener, writeTimeout time.Duration) {
 	limits := n.config.Settings.Limits
 	guard := httpguard.New(httpguard.Config{Name: name, Memory: unit.Bytes(limits.ClientMemory), Connections: limits.Connections,
-		Timer: n.components.Clock, Metrics: n.components.Metrics})
+		WriteTimeout: writeTimeout, Timer: n.components.Clock, Metrics: n.components.Metrics})
 	guard.Protect(server)
 	l.Listener = guard.Listen(l.Listener)
 	server.TLSConfig = l.tls
