Bound what the connections of other nodes hold

What callers saw: a node grew to 462 MB by 20 connections with 2,000 calls each to the listener of the other nodes, to 962 MB by 50 connections with calls of many headers, and 500 silent connections held 520 of 400 descriptors.

Cause: the gRPC server had the defaults of its library: any number of connections and calls, headers of 16 MB, 120 s for a handshake.

Change: the listener has a guard (package netguard). Calls in progress and messages that have not arrived completely count for their connection; a connection with incomplete calls, or none, gives way to others, one with complete calls does not. Headers have at most 16 KiB, a connection 1,024 calls, a handshake 5 s. On the product's own interface the guard has the settings' limits.

Evidence: of TestPeerListener, silent, begun, many streams and many headers failed before; now the peak is 52 MB and the most descriptors 119. TestMetricsListener and the other cases passed before.

--- a/bronzewinchd/platform.go
+++ b/bronzewinchd/platform.go
@@ -18,6 +18,7 @@
 	"bronzewinch.dev/lib/httpguard"
 	"bronzewinch.dev/lib/latestart"
 	"bronzewinch.dev/lib/logline"
+	"bronzewinch.dev/lib/netguard"
 	"bronzewinch.dev/lib/peer"
 	"bronzewinch.dev/lib/relay"
 	"bronzewinch.dev/lib/timer"
@@ -77,7 +78,7 @@
 		newDelegates,
 		newDelegateServer,
 		func(set *metrics.Set) *peer.Pool { return peer.NewPool(peer.PoolConfig{Metrics: set}) },
-		func() *peer.Server { return peer.NewServer(peer.ServerConfig{}) },
+		newPeerServer,
 		newController, newElection, newLateStartGuard, newRelay,
 	} {
 		if err := container.Provide(f); err != nil {
@@ -128,6 +129,11 @@
 	}, nil
 }
 
+func newPeerServer(s platform.Settings, clock timer.Service, set *metrics.Set) *peer.Server {
+	return peer.NewServer(peer.ServerConfig{Guard: netguard.New(netguard.Config{Name: "peers", Memory: httpguard.MemoryFor(s.Memory),
+		Connections: peer.ConnectionsFor(s.Memory, s.MaxFDs), Timer: clock, Metrics: set})})
+}
+
 func newDelegates(s platform.Settings, workers *platform.Workers, table *delegate.Table, pool *peer.Pool,
 	set *metrics.Set) *delegate.Workers {
 	return delegate.NewWorkers(delegate.WorkersConfig{Direct: workers, Table: table, Pool: pool, Cores: s.Cores, Link: s.Link,
--- a/lib/node/provide.go
+++ b/lib/node/provide.go
@@ -20,6 +20,7 @@
 	"bronzewinch.dev/lib/journal"
 	"bronzewinch.dev/lib/kv"
 	"bronzewinch.dev/lib/member"
+	"bronzewinch.dev/lib/netguard"
 	"bronzewinch.dev/lib/operator"
 	"bronzewinch.dev/lib/owner"
 	"bronzewinch.dev/lib/peer"
@@ -67,12 +68,17 @@
 	return peer.NewPool(peer.PoolConfig{TLS: tls}), nil
 }
 
-func newPeerServer(s settings.Daemon) (*peer.Server, error) {
+// minPeerMemory lets two of the largest messages arrive at the same time.
+const minPeerMemory = 2 * peer.MaxMessage * unit.Bytes(1)
+
+func newPeerServer(s settings.Daemon, clock timer.Service, set *metrics.Set) (*peer.Server, error) {
 	tls, err := serverTLS(s.TLS.Peers)
 	if err != nil {
 		return nil, err
 	}
-	return peer.NewServer(peer.ServerConfig{TLS: tls}), nil
+	guard := netguard.New(netguard.Config{Name: "peers", Memory: max(minPeerMemory, unit.Bytes(s.Limits.ClientMemory)),
+		Connections: s.Limits.Connections, Timer: clock, Metrics: set})
+	return peer.NewServer(peer.ServerConfig{TLS: tls, Guard: guard}), nil
 }
 
 func newTable(s settings.Daemon) *member.Table { return member.NewTable(s.Node.ID) }
--- a/lib/peer/server.go
+++ b/lib/peer/server.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"bronzewinch.dev/lib/netguard"
 	"bronzewinch.dev/lib/problem"
 
 	"google.golang.org/grpc"
@@ -21,13 +22,16 @@
 type ServerConfig struct {
 	// TLS is nil for plain TCP. For mutual TLS it requires client certificates.
 	TLS *tls.Config
+	// Guard bounds what the connections of other nodes hold. It may be nil.
+	Guard *netguard.Guard
 }
 
 // Server serves the calls of other entry nodes.
 type Server struct {
-	grpc *grpc.Server
-	desc grpc.ServiceDesc
-	wg   sync.WaitGroup
+	grpc    *grpc.Server
+	callers *callers // nil without a guard
+	desc    grpc.ServiceDesc
+	wg      sync.WaitGroup
 }
 
 // NewServer returns a server without handlers. Add them with Handle before the call
@@ -37,12 +41,18 @@
 		grpc.ForceServerCodecV2(messageCodec{}),
 		grpc.MaxRecvMsgSize(MaxMessage),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: 5 * time.Second, PermitWithoutStream: true}),
+		grpc.ConnectionTimeout(handshakeTimeout), grpc.MaxHeaderListSize(maxHeaderSize), grpc.MaxConcurrentStreams(maxConnCalls),
 	}
 	if c.TLS != nil {
 		opts = append(opts, grpc.Creds(credentials.NewTLS(c.TLS)))
 	}
+	var counted *callers
+	if c.Guard != nil {
+		counted = newCallers(c.Guard)
+		opts = append(opts, counted.options()...)
+	}
 	return &Server{
-		grpc: grpc.NewServer(opts...),
+		callers: counted, grpc: grpc.NewServer(opts...),
 		desc: grpc.ServiceDesc{ServiceName: serviceName, HandlerType: (*any)(nil)},
 	}
 }
@@ -84,6 +94,9 @@
 // Serve starts serving calls on l, until Close. It does not block.
 func (s *Server) Serve(l net.Listener) {
 	s.grpc.RegisterService(&s.desc, nil)
+	if s.callers != nil {
+		l = s.callers.listen(l)
+	}
 	s.wg.Go(func() { _ = s.grpc.Serve(l) })
 }
 
