Bound the lines of the log that wait for a slow reader

What callers saw: a node grew to 110 MB while nobody read its output and clients called paths of 16 KB.

Cause: the buffer of the log was bounded by lines, 4,096, and each refused call logged its whole path. A line about a job with 10,000 steps takes 350 KB.

Change: the buffer has at most 1 MiB beside one line, further lines are dropped and counted, and paths are shortened to 200 bytes.

--- a/lib/logline/logline.go
+++ b/lib/logline/logline.go
@@ -13,9 +13,13 @@
 	"sync"
 )
 
-// maxBufferedLines is the capacity of the buffer. A busy owner writes a few
-// hundred lines per second, so the buffer covers several seconds.
-const maxBufferedLines = 4096
+// maxBufferedLines and maxBufferedBytes are the capacity of the buffer. A busy owner writes
+// a few hundred lines per second, so the buffer covers several seconds. A line about a job
+// of many steps, or with what a client has sent, can be much longer than others.
+const (
+	maxBufferedLines = 4096
+	maxBufferedBytes = 1 << 20
+)
 
 // Writer is an asynchronous io.Writer. Each call of Write must pass one complete
 // line.
@@ -26,6 +30,7 @@
 
 	mu      sync.Mutex
 	closed  bool
+	bytes   int // of the queued lines
 	dropped map[string]int
 }
 
@@ -35,6 +40,7 @@
 	w.wg.Go(func() {
 		for line := range w.lines {
 			_, _ = out.Write(line) // an error can't be reported, as out is the log itself
+			w.countWritten(line)
 			if report := w.droppedReport(); report != nil {
 				_, _ = out.Write(report)
 			}
@@ -43,16 +49,27 @@
 	return w
 }
 
-// Write queues a line, or drops it when the buffer is full. It always returns
-// success, because the caller can't do anything about a dropped line.
+func (w *Writer) countWritten(line []byte) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.bytes -= len(line)
+}
+
+// Write queues a line, or drops it when the buffer is full. A line that is larger than the
+// buffer is queued alone. Write always returns success, because the caller can't do anything about a dropped line.
 func (w *Writer) Write(line []byte) (int, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.closed {
 		return len(line), nil
 	}
+	if w.bytes > 0 && w.bytes+len(line) > maxBufferedBytes {
+		w.dropped[eventOf(line)]++
+		return len(line), nil
+	}
 	select {
 	case w.lines <- bytes.Clone(line):
+		w.bytes += len(line)
 	default:
 		w.dropped[eventOf(line)]++
 	}
@@ -72,6 +89,18 @@
 	w.wg.Wait()
 }
 
+// maxText is the size up to which Shorten leaves texts as they are.
+const maxText = 200
+
+// Shorten returns the beginning of a text that a client has sent, so that clients can't fill
+// the log.
+func Shorten(text string) string {
+	if len(text) <= maxText {
+		return text
+	}
+	return fmt.Sprintf("%s... (%d bytes)", text[:maxText], len(text))
+}
+
 // droppedReport returns a line with the numbers of lines dropped since the previous
 // report, by event, or nil when none were dropped.
 func (w *Writer) droppedReport() []byte {
--- a/lib/logline/logline_test.go
+++ b/lib/logline/logline_test.go
@@ -56,3 +56,28 @@
 	w.Close()
 	is.New(t).Equal(out.String(), "a\nb\n")
 }
+
+// TestLongLinesAreBounded guards against long lines that take memory while nobody reads the
+// log, and against a line that is never written because it is long.
+func TestLongLinesAreBounded(t *testing.T) {
+	is := is.New(t)
+	out := &blockedWriter{release: make(chan struct{})}
+	w := logline.New(out)
+	for range 100 {
+		_, _ = fmt.Fprintf(w, "I \"line\" event=\"call\" path=%s\n", strings.Repeat("x", 300<<10))
+	}
+	close(out.release)
+	w.Close()
+	text := out.out.String()
+	is.True(strings.Contains(text, "path=xxx"))
+	is.True(strings.Contains(text, `event="dropped" call=`))
+	is.True(len(text) < 2<<20)
+}
+
+func ExampleShorten() {
+	fmt.Println(logline.Shorten("/q0/0123456789abcdef"))
+	fmt.Println(len(logline.Shorten("/" + strings.Repeat("x", 16<<10))))
+	// Output:
+	// /q0/0123456789abcdef
+	// 217
+}
--- a/lib/relay/relay.go
+++ b/lib/relay/relay.go
@@ -15,6 +15,7 @@
 	"bronzewinch.dev/lib/dependency"
 	"bronzewinch.dev/lib/election"
 	"bronzewinch.dev/lib/id"
+	"bronzewinch.dev/lib/logline"
 	"bronzewinch.dev/lib/peer"
 	"bronzewinch.dev/lib/problem"
 	"bronzewinch.dev/lib/task"
@@ -316,7 +317,7 @@
 	defer context.AfterFunc(reachable, cancel)()
 	reply, err := peer.Call[controller.Request, controller.Reply](ctx, r.config.Pool, owner.Address, callMethod, req)
 	if err != nil {
-		klog.InfoS("call not answered by the owner", "event", "relay", "verb", req.Verb, "path", req.Path, "owner", owner.Node,
+		klog.InfoS("call not answered by the owner", "event", "relay", "verb", req.Verb, "path", logline.Shorten(req.Path), "owner", owner.Node,
 			"fence", owner.Fence, "cause", err)
 		r.config.Election.Refresh()
 	}
