Keep ended jobs whole while runs of theirs are on workers

Cause: a gang is done with the first end as done, and its occurrence leaves the open ones, while other members are still on their workers. The job counted as without runs and was trimmed, so that the steps of these members were gone.

Change: a job counts its members on workers, and is trimmed when there are none.

Evidence: TestCompletedGangKeepsItsRuns panics without the change.

--- a/lib/planner/job.go
+++ b/lib/planner/job.go
@@ -19,6 +19,7 @@
 	started         bool
 	openOccurrences []*occurrence // occurrences that have become due and are not complete
 	nextOccurrence  int           // number of the next occurrence to open
+	members         int           // that are on workers, also of occurrences that are complete
 	memory          unit.Bytes    // what it is counted for
 	path            criticalPath
 }
@@ -343,7 +344,7 @@
 	switch {
 	case !j.state.Ended():
 		p.openDueOccurrences(now, j)
-	case !j.hasRuns():
+	case j.members == 0:
 		p.trim(j)
 	default:
 		p.untrimmedJobs = append(p.untrimmedJobs, j)
--- a/lib/planner/memory.go
+++ b/lib/planner/memory.go
@@ -47,7 +47,7 @@
 // trimEndedJobs discards what ended jobs without runs no longer need.
 func (p *Planner) trimEndedJobs() {
 	p.untrimmedJobs = slices.DeleteFunc(p.untrimmedJobs, func(j *job) bool {
-		if j.hasRuns() {
+		if j.members > 0 {
 			return false
 		}
 		if p.jobs[j.ID] == j { // otherwise it has been removed
--- a/lib/planner/memory_test.go
+++ b/lib/planner/memory_test.go
@@ -96,3 +96,21 @@
 		is.Equal(len(next.TakeChanges().Orders), 0)
 	}
 }
+
+// TestCompletedGangKeepsItsRuns guards against a job that is trimmed while members of its gang
+// are still on their workers: one end as done completes the gang.
+func TestCompletedGangKeepsItsRuns(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, 2)
+	orders := submitAndPlan(s, singleStepJob(1, task.Step{Tasks: 2, Gang: true}), 1)
+	is.Equal(len(orders), 2)
+	endRun(s, orders[0], task.EndDone)
+	status, ok := s.planner.Status(orders[0].Task.Job)
+	is.True(ok && status.State == task.Completed)
+	is.Equal(len(s.planner.TakeChanges().Freed), 0)
+	is.True(!s.planner.Colocated(orders[1].Worker)) // looks at the steps of all runs
+	is.True(s.planner.Busy(orders[1].Worker))
+	freed := endRun(s, orders[1], task.EndGangBroken).Freed
+	is.Equal(len(freed), 1)
+	is.True(!s.planner.Busy(orders[1].Worker))
+}
--- a/lib/planner/worker.go
+++ b/lib/planner/worker.go
@@ -73,6 +73,7 @@
 
 func (w *worker) addMember(m *member) {
 	w.members = append(w.members, m)
+	m.group.job.members++
 	w.used = w.used.Plus(m.group.step().Reserved())
 }
 
@@ -80,6 +81,7 @@
 	n := len(w.members)
 	w.members = slices.DeleteFunc(w.members, func(other *member) bool { return other == m })
 	if len(w.members) < n {
+		m.group.job.members--
 		w.used = w.used.Minus(m.group.step().Reserved())
 	}
 }
