Bound what starts with large specs take while they are sent

What callers saw: an owner with limits of 64 MB grew to 66 MB, and to 67 MB with the limits of accepted jobs, while 40 workers started tasks of jobs with specs of 250 KB. The more workers, the more memory.

Cause: each start carries the spec of its job, and each worker's link encodes and sends its own at the same time.

Change: starts with a spec of more than 4 KiB share a thirty-second of the VM's memory while they are sent, and wait for each other. The platform's specs have at most 4,000 bytes, so starts inside its limits never wait.

--- a/lib/budget/backlog.go
+++ b/lib/budget/backlog.go
@@ -15,8 +15,13 @@
 	Memory unit.Bytes
 }
 
-// DefaultJobMemory is what jobs may take on a VM of which the memory is not known.
-const DefaultJobMemory = 64 * unit.MiB
+// Defaults for VMs of which the memory is not known.
+const (
+	// DefaultJobMemory is what jobs may take.
+	DefaultJobMemory = 64 * unit.MiB
+	// defaultStartMemory is what starts with large specs may take while they are sent.
+	defaultStartMemory = 8 * unit.MiB
+)
 
 // jobMemoryShare is the share of a VM's memory that jobs may take, as a divisor. Garbage of
 // the runtime can take as much again, and clients and other nodes hold an eighth each.
@@ -31,6 +36,19 @@
 	return vm / jobMemoryShare
 }
 
+// startMemoryShare is the share of a VM's memory that starts with large specs may take while
+// they are sent, as a divisor.
+const startMemoryShare = 32
+
+// StartMemoryFor returns the bytes that starts with large specs may take while they are sent
+// to workers, on a VM of which the memory is zero if it is not known.
+func StartMemoryFor(vm unit.Bytes) unit.Bytes {
+	if vm <= 0 {
+		return defaultStartMemory
+	}
+	return vm / startMemoryShare
+}
+
 const (
 	// accountShare is the share of the memory that one account may take of what the others
 	// leave. The rest stays for accounts that have no jobs yet.
--- a/lib/controller/controller.go
+++ b/lib/controller/controller.go
@@ -23,6 +23,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/semaphore"
 	"k8s.io/klog/v2"
 )
 
@@ -103,6 +104,9 @@
 	Planner planner.Config
 	// JobMemory bounds what accepted jobs take. Zero means that they are not bounded.
 	JobMemory unit.Bytes
+	// StartMemory bounds what starts with large specs take while they are sent to workers.
+	// Zero means that it is not bounded.
+	StartMemory unit.Bytes
 	// MaxEvacuationDelay bounds the time from a request to evacuate a zone to the last
 	// start in that zone. Zero means that the deployment sets no bound.
 	MaxEvacuationDelay time.Duration
@@ -276,8 +280,9 @@
 	txnNumber         uint64
 	done              chan struct{}
 	wg                sync.WaitGroup
-	sending           context.Context // of calls that deliver orders; outlives the session's context in finishOrders
-	deliveries        sync.WaitGroup  // the goroutines that deliver orders
+	starting          *semaphore.Weighted // bytes of starts with large specs that are being sent, or nil
+	sending           context.Context     // of calls that deliver orders; outlives the session's context in finishOrders
+	deliveries        sync.WaitGroup      // the goroutines that deliver orders
 }
 
 // canDecide reports whether the term is valid and the configuration is recent
@@ -325,6 +330,9 @@
 	if ctrl.config.JobMemory > 0 {
 		s.backlog = budget.NewBacklog(budget.BacklogConfig{Memory: ctrl.config.JobMemory})
 	}
+	if ctrl.config.StartMemory > 0 {
+		s.starting = semaphore.NewWeighted(int64(ctrl.config.StartMemory))
+	}
 	ctrl.mu.Lock()
 	clear(ctrl.lastHeartbeat) // heartbeats received in an earlier term of this node do not count
 	ctrl.mu.Unlock()
--- a/lib/controller/deliver.go
+++ b/lib/controller/deliver.go
@@ -7,6 +7,7 @@
 	"bronzewinch.dev/lib/id"
 	"bronzewinch.dev/lib/planner"
 	"bronzewinch.dev/lib/task"
+	"bronzewinch.dev/lib/unit"
 
 	"k8s.io/klog/v2"
 )
@@ -75,6 +76,11 @@
 	l.mu.Lock()
 	l.delivering, l.deliveredEnd = o, false
 	l.mu.Unlock()
+	release, ok := l.session.reserveStart(ctx, o)
+	if !ok {
+		return // the session has ended
+	}
+	defer release()
 	result := planner.NotSent
 	for attempt := range orderAttempts {
 		now := l.session.controller.config.Timer.Now()
@@ -157,6 +163,29 @@
 	}
 }
 
+const (
+	// largeSpec is the size from which the spec of a start is counted while it is sent. The
+	// platform allows 4,000 bytes.
+	largeSpec = 4 * unit.KiB
+	// specCopies is how often a spec is in memory while it is sent: encoded, and in the
+	// buffers of the encoder.
+	specCopies = 3
+)
+
+// reserveStart waits until there is memory to send a start with a large spec. All workers may
+// start tasks of such jobs at the same time. It returns a function that frees the memory, or
+// false if ctx has ended.
+func (s *session) reserveStart(ctx context.Context, o planner.Order) (release func(), ok bool) {
+	if s.starting == nil || unit.Bytes(len(o.Spec)) <= largeSpec {
+		return func() {}, true
+	}
+	size := int64(min(specCopies*unit.Bytes(len(o.Spec)), s.controller.config.StartMemory)) // a single one is always sent
+	if err := s.starting.Acquire(ctx, size); err != nil {
+		return nil, false
+	}
+	return func() { s.starting.Release(size) }, true
+}
+
 // unansweredStartEvent is an attempt to deliver a start that had no answer.
 type unansweredStartEvent struct {
 	order planner.Order
--- a/standin/crowd/accepted_test.go
+++ b/standin/crowd/accepted_test.go
@@ -3,6 +3,7 @@
 package crowd_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -133,6 +134,23 @@
 	}
 }
 
+// TestStartsOfLargeSpecs guards against starts that take memory in the owner, as each carries
+// the spec of its job to its worker and all workers start tasks at the same time.
+func TestStartsOfLargeSpecs(t *testing.T) {
+	const workers, tasks, size = 40, 8 * 40, 250 << 10
+	s := startSiteWithWorkers(t, 1, workers)
+	head, tail := `{"spec":"`, fmt.Sprintf(`","steps":[{"count":%d,"gpu":1,"cpu":500,"mem_mb":256,"estimate_ms":100}]}`, tasks)
+	c := submitters{clients: 8, rounds: 2, body: []byte(head + strings.Repeat("x", size-len(head)-len(tail)) + tail),
+		steps: []cooperative.Step{{Count: tasks, GPU: 1, RunTime: 10 * time.Millisecond}}}
+	accepted := s.submit(s.Nodes[0], c)
+	for end := time.Now().Add(siteStartTimeout); len(accepted) > 0 && !s.Fleet.AllDone(accepted[0]) && time.Now().Before(end); {
+		time.Sleep(100 * time.Millisecond)
+	}
+	s.rest()
+	s.check(s.Nodes[0])
+	s.checkKept(s.Nodes[0], c, accepted)
+}
+
 // TestSingleLargeJob guards against limits that refuse a job inside the platform's limits
 // when nothing else is held.
 func TestSingleLargeJob(t *testing.T) {
--- a/standin/crowd/site_test.go
+++ b/standin/crowd/site_test.go
@@ -33,7 +33,12 @@
 
 func startSite(t *testing.T, nodes int) *site {
 	t.Helper()
-	d, err := cooperative.StartDeployment(cooperative.DeploymentConfig{Binary: binary, Dir: t.TempDir(), Nodes: nodes, Workers: 1,
+	return startSiteWithWorkers(t, nodes, 1)
+}
+
+func startSiteWithWorkers(t *testing.T, nodes, workers int) *site {
+	t.Helper()
+	d, err := cooperative.StartDeployment(cooperative.DeploymentConfig{Binary: binary, Dir: t.TempDir(), Nodes: nodes, Workers: workers,
 		MemoryMB: memoryMB, MaxFDs: maxFDs, ServeMetrics: true, SecondAccount: true})
 	if err != nil {
 		t.Fatal(err)
