Count request bodies when they have arrived, and one request for a connection

What callers saw on the product's own interface: 429 to an ordinary request of another account in 5 of 5 attempts, while 80 clients had announced bodies of 4 MiB and sent 5 bytes, or sent bodies in HTTP/2 streams without their end. A node has 256 MiB for bodies, and 64 such clients took all of it.

Cause: a body counted with the announced size, or the largest allowed, before any of it had arrived. With HTTP/2 a connection carries many requests, and the guard counted the last one for the connection.

Change: a body counts once it has arrived; what is being read is bounded by limits.clientMemory, as before. One that announces more than is left is still rejected at once. The listeners offer HTTP/1.1 alone. limits.vmMemory sets the soft limit of the runtime's memory, as the platform's settings do there.

Evidence: TestInterfaceListeners/callers,_announced_bodies and TestManyRequestsOnOneConnection failed before with 429. All pass now. A body of TestInterfaceListeners/callers,_bodies takes the node to 126 MB of 144, before the setting to 137 MB.

--- a/bronzewinchd/main.go
+++ b/bronzewinchd/main.go
@@ -15,6 +15,7 @@
 	"bronzewinch.dev/lib/node"
 	"bronzewinch.dev/lib/settings"
 	"bronzewinch.dev/lib/timer"
+	"bronzewinch.dev/lib/unit"
 	"bronzewinch.dev/platform"
 
 	"github.com/integrii/flaggy"
@@ -60,6 +61,7 @@
 		return err
 	}
 	defer klog.Flush()
+	limitMemory(unit.Bytes(s.Limits.VMMemory))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	n, err := node.New(node.Config{Settings: s, Timer: timer.NewSystem()})
--- a/lib/caller/authenticate.go
+++ b/lib/caller/authenticate.go
@@ -84,19 +84,25 @@
 	if in.ReadBody == nil || in.BodySize == 0 {
 		return r.next.Process(ctx, received{authenticated: in})
 	}
-	size := in.BodySize
-	if size < 0 {
-		size = in.service.record.MaxRequest
-	}
-	if !r.frontend.inFlight.reserveBody(size, r.frontend.config.MaxBodyBytes) {
+	limit := r.frontend.config.MaxBodyBytes
+	full := func() (Reply, error) {
 		return Reply{}, rejectEarly(ctx, r.frontend, in, time.Second, problem.New(problem.Overloaded, problem.Detail{
-			Field: "request bodies", Limit: r.frontend.config.MaxBodyBytes.String(), Remedy: "retry later"}))
+			Field: "request bodies", Limit: limit.String(), Remedy: "retry later"}))
+	}
+	if !r.frontend.inFlight.hasRoom(in.BodySize, limit) {
+		return full()
 	}
-	defer r.frontend.inFlight.releaseBody(size)
 	body, err := in.ReadBody(in.service.record.MaxRequest)
 	if err != nil {
 		return Reply{}, rejectEarly(ctx, r.frontend, in, 0, err)
 	}
+	// A body counts once it has arrived. If it counted with the size that its client has
+	// announced, a few clients that send no more than the headers would lock out the others.
+	size := unit.Bytes(len(body))
+	if !r.frontend.inFlight.reserveBody(size, limit) {
+		return full()
+	}
+	defer r.frontend.inFlight.releaseBody(size)
 	if unit.Bytes(len(body)) > in.service.record.MaxRequest {
 		return Reply{}, tooLarge(in.service.record.MaxRequest)
 	}
--- a/lib/caller/work.go
+++ b/lib/caller/work.go
@@ -54,6 +54,11 @@
 	return false
 }
 
+// hasRoom reports whether a body of a size, or of -1 if it is not known, would fit now.
+func (i *inFlight) hasRoom(size, limit unit.Bytes) bool {
+	return unit.Bytes(i.bodyBytes.Load())+max(0, size) <= limit
+}
+
 func (i *inFlight) releaseBody(size unit.Bytes) { i.bodyBytes.Add(-int64(size)) }
 
 // Ready reports whether this node accepts new requests.
--- a/lib/httpguard/guard.go
+++ b/lib/httpguard/guard.go
@@ -113,8 +113,11 @@
 }
 
 // Protect lets a server, which must be served on the listener that Listen returns, count
-// what its clients hold.
+// what its clients hold. The server offers HTTP/1 alone: a connection is counted for one
+// request at a time, and with HTTP/2 it can carry hundreds.
 func (g *Guard) Protect(s *http.Server) {
+	s.Protocols = new(http.Protocols)
+	s.Protocols.SetHTTP1(true)
 	s.Handler = g.handler(s.Handler)
 	s.ConnContext = withConn
 	next := s.ConnState
--- a/standin/deployment/node.go
+++ b/standin/deployment/node.go
@@ -58,6 +58,19 @@
 	return n, nil
 }
 
+// ProcessSettings returns the text of the settings of an entry node that runs as a process of
+// its own, and the addresses on which it listens. It adds the node to the VM list. Further
+// sections may be appended to the text.
+func (d *Deployment) ProcessSettings(name id.Node, zone id.Zone) (string, settings.Listen, error) {
+	addresses, err := freeAddresses(3)
+	if err != nil {
+		return "", settings.Listen{}, err
+	}
+	listen := settings.Listen{Callers: addresses[0], Operators: addresses[1], Peers: addresses[2]}
+	d.VMList.Set(vmlist.VM{Name: string(name), Role: vmlist.Entry, Zone: zone, Address: listen.Peers, State: vmlist.Live})
+	return d.settingsText(name, zone, addresses), listen, nil
+}
+
 func (d *Deployment) settingsText(name id.Node, zone id.Zone, addresses []string) string {
 	return fmt.Sprintf(`[node]
 id = %q
