Bound what unfinished jobs take on the product's own interface

What callers saw: a node that should stay within 144 MB grew to 148 MB with 11,990 small jobs that wait for workers, all accepted; nothing bounded their number, in the owner of a zone nor in the next one.

Change: limits.jobMemory (128 MiB) bounds the unfinished jobs of a zone, 8 KiB each, with the shares of budget.Backlog. The next owner counts what it takes over.

TestJobsBeyondMemoryAreRefused covers the take-over.

--- a/lib/budget/backlog.go
+++ b/lib/budget/backlog.go
@@ -79,23 +79,26 @@
 func (b *Backlog) Held() unit.Bytes { return unit.Bytes(b.held.Load()) }
 
 // Admit reports whether a new job of an account is accepted. If it is, its bytes count until
-// Release. A job is always accepted if there are no others.
+// Release.
 func (b *Backlog) Admit(a id.Account, job unit.Bytes) bool {
 	b.decision.Lock()
 	defer b.decision.Unlock()
-	held := b.Held()
-	own, _ := b.accounts.Get(a)
-	left := min(unit.Bytes(accountShare*float64(b.config.Memory-(held-own)))-own, b.config.Memory-held)
-	switch {
-	case held == 0:
-	case own == 0 && job <= left:
-	case job > left/jobShare:
+	if !b.Fits(a, job) {
 		return false
 	}
 	b.Restore(a, job)
 	return true
 }
 
+// Fits reports whether there is room for a new job of an account. There always is if there
+// are no others.
+func (b *Backlog) Fits(a id.Account, job unit.Bytes) bool {
+	held := b.Held()
+	own, _ := b.accounts.Get(a)
+	left := min(unit.Bytes(accountShare*float64(b.config.Memory-(held-own)))-own, b.config.Memory-held)
+	return held == 0 || own == 0 && job <= left || job <= left/jobShare
+}
+
 // Restore counts the bytes of a job that was accepted by an earlier owner. They may exceed
 // the memory, as an accepted job is never dropped.
 func (b *Backlog) Restore(a id.Account, job unit.Bytes) { b.add(a, job) }
--- a/lib/node/places.go
+++ b/lib/node/places.go
@@ -39,13 +39,14 @@
 	store           *kv.Client
 	syncer          *configsync.Syncer
 	historySettings settings.History
+	jobMemory       unit.Bytes // of the unfinished jobs of a zone
 	observer        observer
 	set             *metrics.Set
 	open            *shard.Map[id.Shard, *placementShard]
 }
 
 func newPlacementShards(s settings.Daemon, clock timer.Service, store *kv.Client, syncer *configsync.Syncer, obs observer, set *metrics.Set) *placementShards {
-	return &placementShards{clock: clock, store: store, syncer: syncer, historySettings: s.History, observer: obs, set: set, open: shard.NewMap[id.Shard, *placementShard]()}
+	return &placementShards{clock: clock, store: store, syncer: syncer, historySettings: s.History, jobMemory: unit.Bytes(s.Limits.JobMemory), observer: obs, set: set, open: shard.NewMap[id.Shard, *placementShard]()}
 }
 
 // Placement returns a placement shard that this node owns.
@@ -84,7 +85,7 @@
 		Shard: s, Zone: zone, Clock: p.clock, Planner: placement.placer, Journal: t.Journal(), Term: t, History: placement.history, Observer: p.observer, Metrics: p.set,
 		Workers: worker.New(worker.Config{Clock: p.clock, Transport: worker.NewHTTP(worker.HTTPConfig{
 			Client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}, URL: placement.addresses.url})}),
-		Records: set, Snapshot: snapshot, Items: itemsOf(entries),
+		JobMemory: p.jobMemory, Records: set, Snapshot: snapshot, Items: itemsOf(entries),
 	})
 	if err != nil {
 		placement.history.Abandon()
--- a/lib/scheduler/api.go
+++ b/lib/scheduler/api.go
@@ -45,6 +45,10 @@
 	if e, ok := s.jobs.Get(name); ok {
 		return checkSameSpec(e, spec)
 	}
+	if s.backlog != nil && !s.backlog.Fits(spec.Account, JobMemory) {
+		return job.Job{}, problem.New(problem.Overloaded, problem.Detail{Field: "jobs of zone " + string(s.cfg.Zone),
+			Limit: s.cfg.JobMemory.String(), Remedy: "retry when some jobs have ended; this one was not accepted"})
+	}
 	j := job.Job{ID: name, Spec: spec, Zone: s.cfg.Zone, Phase: job.Waiting, Submitted: s.cfg.Clock.Now()}
 	if err := s.journalWait(ctx, item{Op: opSubmit, ID: name, Job: &j}, func() { s.enqueue(j) }); err != nil {
 		return job.Job{}, err
@@ -76,11 +80,19 @@
 		return old, true
 	})
 	if added {
+		s.countUnfinished(j)
 		s.waiting.Set(j.ID, e)
 		s.requestPass()
 	}
 }
 
+// countUnfinished counts what a job takes until finalize.
+func (s *Scheduler) countUnfinished(j job.Job) {
+	if s.backlog != nil {
+		s.backlog.Restore(j.Spec.Account, JobMemory)
+	}
+}
+
 // Cancel cancels a job and waits until it is certain that no member of it runs.
 // Concurrent cancellations are journaled in one entry.
 func (s *Scheduler) Cancel(ctx context.Context, name id.Job) (CancelResult, error) {
--- a/lib/scheduler/entry.go
+++ b/lib/scheduler/entry.go
@@ -261,6 +261,9 @@
 	e.job.Ended = s.cfg.Clock.Now()
 	s.observeEnd(e)
 	close(e.ended)
+	if s.backlog != nil {
+		s.backlog.Release(e.job.Spec.Account, JobMemory)
+	}
 	s.finishedMu.Lock()
 	defer s.finishedMu.Unlock()
 	s.finished = append(s.finished, e.job.ID)
--- a/lib/scheduler/open.go
+++ b/lib/scheduler/open.go
@@ -108,6 +108,9 @@
 	for name, js := range durable.Jobs {
 		e := newJobEntry(*js)
 		s.jobs.Set(name, e)
+		if !e.job.Phase.Final() {
+			s.countUnfinished(e.job)
+		}
 		if js.AllocationRecorded && (e.job.Phase == job.Waiting || e.job.Phase.Final()) { // placed, and not committed
 			s.runOnPlanner(func(p *planState) {
 				if r := s.releaseAllocation(p, e, "the owner of the zone changed before the gang started"); r != nil {
--- a/lib/scheduler/scheduler.go
+++ b/lib/scheduler/scheduler.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"bronzewinch.dev/lib/budget"
 	"bronzewinch.dev/lib/burn"
 	"bronzewinch.dev/lib/decision"
 	"bronzewinch.dev/lib/id"
@@ -111,6 +112,8 @@
 	MaxFailures = 3
 	// MaxFinished is the number of finished jobs that are kept for lookup.
 	MaxFinished = 20_000
+	// JobMemory is what an unfinished job takes, with the latest decisions about it.
+	JobMemory = 8 * unit.KiB
 	// MaxDecisions is the number of decisions that are kept for one job.
 	MaxDecisions = 16
 	// MaxRecords is the number of decision records that a shard without a
@@ -151,6 +154,8 @@
 	Metrics *metrics.Set
 	// Records is the current configuration. It declares the zone's workers.
 	Records *record.Set
+	// JobMemory bounds what unfinished jobs take. Zero means that they are not bounded.
+	JobMemory unit.Bytes
 	// Snapshot and Items are the content of the journal at the takeover.
 	Snapshot []byte
 	Items    [][]byte
@@ -180,7 +185,8 @@
 	fenceOnce  sync.Once
 	loops      sync.WaitGroup // goroutines that end with ctx
 	writer     sync.WaitGroup
-	linksMu    sync.Mutex // serialises changes of the set of links
+	linksMu    sync.Mutex      // serialises changes of the set of links
+	backlog    *budget.Backlog // what unfinished jobs take, or nil if they are not bounded
 	finishedMu sync.Mutex
 	finished   []id.Job // in the order in which they ended
 }
@@ -207,6 +213,9 @@
 	if s.cfg.Metrics == nil {
 		s.cfg.Metrics = metrics.NewSet()
 	}
+	if cfg.JobMemory > 0 {
+		s.backlog = budget.NewBacklog(budget.BacklogConfig{Memory: cfg.JobMemory})
+	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	for i := range s.reports {
 		s.reports[i] = pipe.NewQueue[report](reportQueueSize)
--- a/lib/settings/settings.go
+++ b/lib/settings/settings.go
@@ -69,6 +69,7 @@
 	QueueLength      int      `toml:"queueLength" default:"1024" range:"1..100000" doc:"requests that wait for a backend server"`
 	ClientMemory     Size     `toml:"clientMemory" default:"32MiB" range:"1MiB..4GiB" doc:"memory that the requests of callers, and those of operators, may take while they are read; the largest and slowest give way to others"`
 	VMMemory         Size     `toml:"vmMemory" default:"0B" range:"0B..1024GiB" doc:"memory of the VM; above four fifths of it the runtime collects garbage ever more often; 0B if it is not known"`
+	JobMemory        Size     `toml:"jobMemory" default:"128MiB" range:"1MiB..64GiB" doc:"memory that the unfinished jobs of a zone may take on the node that owns it, 8KiB each; an account leaves a quarter to the others"`
 	AnswerMemory     Size     `toml:"answerMemory" default:"16MiB" range:"1MiB..4GiB" doc:"memory for answers that callers can fetch later"`
 	AnswerRetention  Duration `toml:"answerRetention" default:"10m" range:"1s..24h" doc:"time for which an answer can be fetched"`
 	ShutdownTimeout  Duration `toml:"shutdownTimeout" default:"1m" range:"1s..1h" doc:"time for requests in progress at a planned stop"`
--- a/standin/crowd/interface_test.go
+++ b/standin/crowd/interface_test.go
@@ -25,6 +25,7 @@
 	"time"
 
 	"bronzewinch.dev/examples"
+	"bronzewinch.dev/lib/id"
 	"bronzewinch.dev/lib/operator"
 	"bronzewinch.dev/lib/settings"
 	"bronzewinch.dev/lib/timer"
@@ -42,7 +43,7 @@
 // limited, so the ordinary caller has another account than the crowd.
 const (
 	interfaceMemoryMB = 144
-	interfaceLimits   = "[limits]\nvmMemory = \"144MiB\"\nclientMemory = \"8MiB\"\nanswerMemory = \"1MiB\"\nconnections = "
+	interfaceLimits   = "[limits]\nvmMemory = \"144MiB\"\nclientMemory = \"8MiB\"\nanswerMemory = \"1MiB\"\njobMemory = \"8MiB\"\nconnections = "
 	ordinaryToken     = "example-only-cooperative-account-schools"
 	crowdToken        = "example-only-cooperative-account-members"
 )
@@ -387,3 +388,41 @@
 		})
 	}
 }
+
+// TestJobsOnInterface guards against accepted jobs of the product's own interface that take
+// memory without a bound while they wait for workers.
+func TestJobsOnInterface(t *testing.T) {
+	const clients, rounds = 40, 300
+	n := startEntryNode(t)
+	text := func(name, account string) string {
+		return fmt.Sprintf("[[record]]\nschema = \"v2\"\nkind = \"job\"\nname = %q\naccount = %q\ndeclaredRun = \"2h\"\nprogram = %q\n"+
+			"shape = { workers = 1, locality = \"worker\", perWorker = { accelerators = 8, cores = 4, memory = \"16GiB\" } }\n", name, account, strings.Repeat("p", 250))
+	}
+	submit := func(name, account, bearer string) (int, string) {
+		body, err := json.Marshal(operator.SubmitRequest{Job: id.Job(name), File: operator.File{Name: "job.toml", Text: text(name, account)}})
+		if err != nil {
+			return 0, err.Error()
+		}
+		return n.send(http.MethodPost, "http://"+n.listen.Operators+"/v1/jobs", bearer, nil, body)
+	}
+	var crowd sync.WaitGroup
+	var mu sync.Mutex
+	statuses := make(map[int]int)
+	for c := range clients {
+		crowd.Go(func() {
+			for r := range rounds {
+				status, _ := submit(fmt.Sprintf("crowd-%d-%d", c, r), "members", crowdToken)
+				mu.Lock()
+				statuses[status]++
+				mu.Unlock()
+			}
+		})
+	}
+	crowd.Wait()
+	t.Logf("jobs by status: %v", statuses)
+	status, body := submit("ordinary", "schools", ordinaryToken)
+	if status != http.StatusOK {
+		t.Errorf("an ordinary job got status %d: %s", status, body)
+	}
+	n.check()
+}
--- a/standin/scheduling/snapshot_test.go
+++ b/standin/scheduling/snapshot_test.go
@@ -10,6 +10,7 @@
 	"bronzewinch.dev/lib/id"
 	"bronzewinch.dev/lib/job"
 	"bronzewinch.dev/lib/journal"
+	"bronzewinch.dev/lib/problem"
 	"bronzewinch.dev/lib/record"
 	"bronzewinch.dev/lib/scheduler"
 	"bronzewinch.dev/lib/timer"
@@ -42,6 +43,11 @@
 // entry node does. It also returns the size of the snapshot in bytes and the number
 // of journal entries after it.
 func takeOverFrom(t *testing.T, service *kvservice.Service, node id.Node) (s *scheduler.Scheduler, snapshot, entries int) {
+	return takeOverWith(t, service, node, stageMetrics, 0)
+}
+
+// takeOverWith is like takeOverFrom, with metrics and a bound on what unfinished jobs take.
+func takeOverWith(t *testing.T, service *kvservice.Service, node id.Node, set *metrics.Set, memory unit.Bytes) (s *scheduler.Scheduler, snapshot, entries int) {
 	is := is.New(t)
 	w, state, log, err := journal.TakeOver(t.Context(), journal.Config{
 		Store: service.LocalClient(string(node)), Prefix: "place/a", Node: node})
@@ -51,14 +57,48 @@
 	for _, e := range log {
 		items = append(items, e.Items...)
 	}
-	set := record.NewSet()
-	set.Zones["a"] = record.Zone{Name: "a"}
-	s, err = scheduler.New(scheduler.Config{Shard: "place/a", Zone: "a", Clock: timer.NewManual(time.Unix(1_000_000, 0)), Planner: newFirstFit(set),
-		Journal: w, Term: alwaysValid(w.Epoch()), Workers: noWorkers{}, Records: set, Snapshot: state, Items: items, Metrics: stageMetrics})
+	records := record.NewSet()
+	records.Zones["a"] = record.Zone{Name: "a"}
+	s, err = scheduler.New(scheduler.Config{Shard: "place/a", Zone: "a", Clock: timer.NewManual(time.Unix(1_000_000, 0)), Planner: newFirstFit(records),
+		Journal: w, Term: alwaysValid(w.Epoch()), Workers: noWorkers{}, Records: records, Snapshot: state, Items: items, Metrics: set, JobMemory: memory})
 	is.NoErr(err)
 	return s, len(state), len(log)
 }
 
+// TestJobsBeyondMemoryAreRefused guards against a shard that accepts jobs until its node runs
+// out of memory, an owner that does not count the jobs that it takes over, and one that
+// accepts no jobs any more when others have ended.
+func TestJobsBeyondMemoryAreRefused(t *testing.T) {
+	is := is.New(t)
+	service := kvservice.New(kvservice.Config{Timer: timer.NewSystem()})
+	defer service.Close()
+	spec := job.Spec{Account: "crowd", DeclaredRun: time.Hour, Program: "p",
+		Shape: job.Shape{Workers: 1, PerWorker: oneAccelerator, Locality: job.SameWorker}}
+	submit := func(s *scheduler.Scheduler, account id.Account, n int) error {
+		spec := spec
+		spec.Account = account
+		_, err := s.Submit(t.Context(), spec, id.Job(fmt.Sprintf("%s-%d", account, n)))
+		return err
+	}
+	first, _, _ := takeOverWith(t, service, "first", metrics.NewSet(), 20*scheduler.JobMemory)
+	accepted := 0
+	for submit(first, "crowd", accepted) == nil {
+		accepted++
+	}
+	is.True(accepted > 1 && accepted < 20)
+	is.True(problem.Is(submit(first, "crowd", accepted), problem.Overloaded))
+	is.NoErr(submit(first, "crowd", 0)) // it is known
+	is.NoErr(submit(first, "other", 0))
+	is.NoErr(first.Close(t.Context()))
+	next, _, _ := takeOverWith(t, service, "next", metrics.NewSet(), 20*scheduler.JobMemory)
+	is.True(problem.Is(submit(next, "crowd", accepted), problem.Overloaded))
+	for n := range accepted {
+		_, err := next.Cancel(t.Context(), id.Job(fmt.Sprintf("crowd-%d", n)))
+		is.NoErr(err)
+	}
+	is.NoErr(submit(next, "crowd", accepted))
+}
+
 // TestTakeoverFromSnapshot guards against snapshots that are never written, and
 // against a new owner that rebuilds other jobs from a snapshot than the old owner
 // had.
