Continue a pass at the occurrence that it has not tried

What callers would see: an occurrence of a job that never starts while steps of 256 earlier ones, which no worker can run, wait. The bound on steps that are tried in vain kept its place by occurrence, so each pass began with the first one.

Change: a job keeps the occurrence and the step with which the next pass begins.

Evidence: TestEveryOccurrenceIsTried stopped at 256 of 400 occurrences before.

--- a/lib/planner/job.go
+++ b/lib/planner/job.go
@@ -22,6 +22,7 @@
 	members         int           // that are on workers, also of occurrences that are complete
 	memory          unit.Bytes    // what it is counted for
 	path            criticalPath
+	resume          resumption
 }
 
 type occurrence struct {
@@ -30,7 +31,6 @@
 	steps     [][]*group
 	remaining int             // groups that are not done
 	undone    []int           // the same by step
-	resumeAt  int             // step with which the next pass begins
 	advice    map[int]*advice // by step, for queues with advice
 }
 
--- a/lib/planner/plan.go
+++ b/lib/planner/plan.go
@@ -244,21 +244,32 @@
 	maxVainAttempts = 256
 )
 
+// resumption is the step of an occurrence with which the next pass over a job begins.
+type resumption struct {
+	occurrence int // its number
+	step       int
+}
+
 // placeJob starts the groups of a job that fit. If too many steps don't fit, the next pass
 // begins with those that were not tried.
 func (ps *pass) placeJob(j *job) {
-	vain := 0
-	for _, o := range j.openOccurrences {
-		first := o.resumeAt
-		o.resumeAt = 0
+	from, vain := j.resume, 0
+	j.resume = resumption{}
+	first := max(0, slices.IndexFunc(j.openOccurrences, func(o *occurrence) bool { return o.number >= from.occurrence }))
+	for k := range j.openOccurrences {
+		o := j.openOccurrences[(first+k)%len(j.openOccurrences)]
+		skipped := 0
+		if o.number == from.occurrence {
+			skipped = from.step
+		}
 		for n := range j.Steps {
-			i := (first + n) % len(j.Steps)
+			i := (skipped + n) % len(j.Steps)
 			if !o.stepReady(j.Steps[i]) || ps.placeStep(j, o, i) {
 				continue
 			}
 			ps.vain++
 			if vain++; vain >= maxVainSteps && ps.vain >= maxVainAttempts {
-				o.resumeAt = (i + 1) % len(j.Steps)
+				j.resume = resumption{o.number, i + 1}
 				return
 			}
 		}
--- a/lib/planner/steps_test.go
+++ b/lib/planner/steps_test.go
@@ -33,6 +33,27 @@
 	is.Equal(orders[0].Task.Step, 1001)
 }
 
+// TestEveryOccurrenceIsTried guards against an occurrence that never starts because steps of
+// many earlier ones, which no worker can run, are tried before it.
+func TestEveryOccurrenceIsTried(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, 1)
+	j := singleStepJob(1, task.Step{Tasks: 1, Demand: unit.Resources{Accelerators: 8, Cores: unit.Core}})
+	j.Steps = append(j.Steps, task.Step{Tasks: 1, Demand: j.Steps[0].Demand, Label: "none", After: []int{0}})
+	j.Occurrences, j.First = 400, s.now
+	orders, started := submitAndPlan(s, j, 1), 0
+	for range 3 * j.Occurrences {
+		if len(orders) == 0 { // the pass has ended at the second steps of earlier occurrences
+			s.planner.Plan(s.now)
+			orders = s.planner.TakeChanges().Orders
+			continue
+		}
+		started++
+		orders = endRun(s, orders[0], task.EndDone).Orders
+	}
+	is.Equal(started, j.Occurrences)
+}
+
 // TestSmallerGroupsFitAfterMisfits guards against groups that are taken for groups that
 // did not fit although they need less, or something else.
 func TestSmallerGroupsFitAfterMisfits(t *testing.T) {
