--- a/lib/planner/plan.go
+++ b/lib/planner/plan.go
@@ -206,14 +206,15 @@
 	return from.Add(time.Duration(j.queue.Slack*float64(p.criticalPath(j))) + j.queue.Target)
 }
 
-// criticalPath is the expected run time of a job's longest chain of dependent steps. It is
-// computed again when the expected run times have changed.
+// criticalPath keeps the result of longestChain until the expected run times change. A pass
+// needs it for each step of a job.
 type criticalPath struct {
 	known    bool
 	version  uint64 // of the expected run times
 	duration time.Duration
 }
 
+// criticalPath returns the expected run time of a job's longest chain of dependent steps.
 func (p *Planner) criticalPath(j *job) time.Duration {
 	if version := p.runTimes.version; !j.path.known || j.path.version != version {
 		j.path = criticalPath{known: true, version: version, duration: p.longestChain(j)}
@@ -221,7 +222,7 @@
 	return j.path.duration
 }
 
-// longestChain returns the expected run time of a job's longest chain of dependent steps.
+// longestChain computes what criticalPath returns.
 func (p *Planner) longestChain(j *job) time.Duration {
 	ends := make([]time.Duration, len(j.Steps))
 	var longest time.Duration
