Open the clients that don't read their replies in one place

The crowds on the platform's listeners and on the operators' interface opened them with the same loop. The crowds and their bounds stay as they were; those on the operators' interface now send without a deadline, as the others do.

--- a/standin/crowd/interface_test.go
+++ b/standin/crowd/interface_test.go
@@ -344,13 +344,7 @@
 	t.Run("operators, unread", func(t *testing.T) {
 		n := startEntryNode(t)
 		read := sendAll([]byte(strings.Repeat("GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n", 500)))
-		for range maxFDs {
-			openClients(t, n.listen.Operators, 1, &net.Dialer{Control: limitBuffers}, func(c net.Conn) error {
-				go func() { _ = read(c) }()
-				return nil
-			})
-			time.Sleep(unreadPause)
-		}
+		openUnread(t, n.listen.Operators, maxFDs, read)
 		n.check()
 	})
 	t.Run("peers, silent", func(t *testing.T) {
--- a/standin/crowd/replies_test.go
+++ b/standin/crowd/replies_test.go
@@ -37,18 +37,22 @@
 // for the one when the next one comes.
 const unreadPause = 25 * time.Millisecond
 
-// pressUnread lets clients one after the other send requests whose replies they do not read.
-func (s *site) pressUnread(address string, clients int, send func(net.Conn) error) {
-	s.t.Helper()
+// openUnread lets clients one after the other send requests whose replies they do not read.
+func openUnread(t *testing.T, address string, clients int, send func(net.Conn) error) {
+	t.Helper()
 	for range clients {
-		conn, err := (&net.Dialer{Control: limitBuffers}).Dial("tcp", address)
-		if err != nil {
-			continue // a listener may refuse a crowd
-		}
-		s.t.Cleanup(func() { _ = conn.Close() })
-		go func() { _ = send(conn) }() // until the end of the test closes the connection
+		openClients(t, address, 1, &net.Dialer{Control: limitBuffers}, func(c net.Conn) error {
+			_ = c.SetDeadline(time.Time{})
+			go func() { _ = send(c) }() // until the end of the test closes the connection
+			return nil
+		})
 		time.Sleep(unreadPause)
 	}
+}
+
+func (s *site) pressUnread(address string, clients int, send func(net.Conn) error) {
+	s.t.Helper()
+	openUnread(s.t, address, clients, send)
 	s.rest()
 }
 
