--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,7 @@
 #!/bin/sh
-# Builds the stand-ins of the third review into target/, after the build of the deploy file.
+# Builds the stand-ins of cases 11 to 15. It needs Go and no network. The daemon is built with
+# the build command of deploy/system.toml.
 set -e
 cd "$(dirname "$0")/standin-3"
-GOWORK=off GOFLAGS=-mod=mod GOPROXY=off go build -o ../../target/review3 .
+mkdir -p ../../target
+GOWORK=off go build -buildvcs=false -o ../../target/review3 .
--- a/review/standin-3/cloud.go
+++ b/review/standin-3/cloud.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,14 +22,46 @@
 	lives   int
 	state   string
 	upkeeps map[int]bool // waves in which its upkeep has begun
+	cut     atomic.Pointer[cut]
 }
 
+// cut is a partition of a machine from all nodes. Its channel is closed when it ends.
+type cut struct{ over chan struct{} }
+
+// ServeHTTP passes a call on to the minion, and the answer back unless the machine is cut off
+// by then.
 func (m *machine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if c := m.cut.Load(); c != nil {
+		c.drop(r)
+	}
 	life := m.minion.Load()
 	if life == nil {
 		panic(http.ErrAbortHandler)
 	}
-	life.ServeHTTP(w, r)
+	reply := httptest.NewRecorder()
+	lost := func() (lost bool) {
+		defer func() { lost = recover() != nil }()
+		life.ServeHTTP(reply, r)
+		return false
+	}()
+	if c := m.cut.Load(); c != nil {
+		c.drop(r)
+	}
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(reply.Code)
+	_, _ = w.Write(reply.Body.Bytes())
+}
+
+// drop lets a call hang until the caller gives up or the partition ends. No answer is sent.
+func (c *cut) drop(r *http.Request) {
+	select {
+	case <-c.over:
+	case <-r.Context().Done():
+	}
+	panic(http.ErrAbortHandler)
 }
 
 // cloud is the platform's interface of the machines.
@@ -60,11 +93,60 @@
 	m.lives++
 	life := c.world.fleet.newMinion(fmt.Sprintf("i-%s-%05d", m.name, m.lives), m.address, "entoto", m.rack)
 	c.world.minions = append(c.world.minions, life)
+	life.mute(m.cut.Load() != nil)
 	m.minion.Store(life)
 	m.state = "up"
 	go life.register(c.world.store)
 }
 
+// machineOf returns the machine of a minion.
+func (c *cloud) machineOf(id string) *machine {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range c.machines {
+		if life := m.minion.Load(); life != nil && life.id == id {
+			return m
+		}
+	}
+	return nil
+}
+
+// restartBehindCut cuts a machine off from all nodes and from the store. Behind the cut its
+// minion crashes after a time, and starts again under its id. The store removes its entry
+// after three heartbeat intervals of silence.
+func (c *cloud) restartBehindCut(m *machine, length, crashAfter, downTime time.Duration) {
+	life := m.minion.Load()
+	partition := &cut{make(chan struct{})}
+	m.cut.Store(partition)
+	life.mute(true)
+	c.world.log.write("%s is cut off from all nodes and from the store for %v", m.name, length)
+	time.AfterFunc(3*heartbeat, func() {
+		if m.cut.Load() == partition {
+			c.world.store.write("servers/"+life.id, nil)
+		}
+	})
+	time.AfterFunc(length, func() {
+		m.cut.Store(nil)
+		close(partition.over)
+		if l := m.minion.Load(); l != nil {
+			l.mute(false)
+		}
+		c.world.log.write("%s is no longer cut off", m.name)
+	})
+	time.AfterFunc(crashAfter, func() {
+		m.minion.Store(nil)
+		life.leave()
+		c.world.log.write("%s crashes", life.id)
+	})
+	time.AfterFunc(crashAfter+downTime, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		m.lives--
+		c.startMinion(m)
+		c.world.log.write("%s starts again under its id", life.id)
+	})
+}
+
 func (c *cloud) begun(name string, wave int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -13,6 +13,7 @@
 var cases = map[string]func(log *recorder, trouble bool) (broken bool, err error){
 	"halfstored": halfStored,
 	"oversized":  oversized,
+	"restarted":  restartedBehindCut,
 	"wave":       waveRequestedAgain,
 	"amended":    waveAmended,
 }
--- a/review/standin-3/minion.go
+++ b/review/standin-3/minion.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -64,6 +65,10 @@
 	gangs   map[string]*gang
 	broken  []string // rules that were broken
 	starts  int
+	// late tells how long after its arrival a start is carried out. Late starts get no answer.
+	late func(m *minion, o order) time.Duration
+	// current returns the minion that has an id now.
+	current func(id string) *minion
 }
 
 func newFleet(log *recorder) *fleet {
@@ -192,6 +197,7 @@
 	lastSeq  int
 	changed  chan struct{}
 	gone     bool
+	muted    atomic.Bool // it does not reach the store
 	stop     chan struct{}
 }
 
@@ -210,10 +216,14 @@
 		"capacity": map[string]int{"cpu": m.cpu, "mem_mb": m.memMB, "gpu": m.gpu}}
 }
 
+func (m *minion) mute(muted bool) { m.muted.Store(muted) }
+
 // register writes the minion's entry into the store until it leaves.
 func (m *minion) register(s *store) {
 	for seq := 1; ; seq++ {
-		s.write("servers/"+m.id, m.entry(seq))
+		if !m.muted.Load() {
+			s.write("servers/"+m.id, m.entry(seq))
+		}
 		select {
 		case <-time.After(heartbeat):
 		case <-m.stop:
@@ -364,6 +374,15 @@
 		}
 		respond(http.StatusOK)
 	case "/run-start":
+		if f.late != nil {
+			if d := f.late(m, o); d > 0 {
+				f.startLate(m.id, o, d)
+				f.mu.Unlock()
+				<-r.Context().Done()
+				f.mu.Lock()
+				panic(http.ErrAbortHandler)
+			}
+		}
 		if reason := m.start(o); reason != "" {
 			reply["reason"] = reason
 			respond(http.StatusConflict)
@@ -375,6 +394,28 @@
 	}
 }
 
+// startLate carries out a start after a time, at the minion that has the id by then.
+func (f *fleet) startLate(id string, o order, after time.Duration) {
+	f.log.write("start %s run %d on %s gets no answer; it is carried out in %v", o.Task, o.Run, id, after)
+	time.AfterFunc(after, func() {
+		m := f.current(id)
+		if m == nil {
+			return
+		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		reason := "fence"
+		if o.Fence >= m.fence && !m.gone {
+			m.fence = o.Fence
+			reason = m.start(o)
+		}
+		if reason == "" {
+			reason = "started"
+		}
+		f.log.write("late start %s run %d on %s: %s", o.Task, o.Run, id, reason)
+	})
+}
+
 // hold carries out a poll. The lock of the fleet is held, but not while it waits.
 func (m *minion) hold(r *http.Request, o order) {
 	if o.Deadline > 0 {
