--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,6 +1,12 @@
 #!/bin/sh
-# Plays the case 'halfstored'. Exit code: 1 the rule was broken, 0 it held, 2 the case could not run.
-# TROUBLE=0 leaves out the disruption. Build first: the deploy file's build, review/build-3.sh.
+# Plays the case 'halfstored' of review/standin-3, and writes record.txt beside this file: what was sent,
+# answered and run. TROUBLE=0 leaves out the disruption. Exits with 1 if the rule was broken, 0 if
+# it held, 2 if the case could not run. Build first: the deploy file's build, review/build-3.sh.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/bronzewinchd ] && [ -x target/review3 ] || exit 2
+for program in target/bronzewinchd target/review3; do
+	if [ ! -x "$program" ]; then
+		echo "could not run: $program is missing" | tee review/11/record.txt
+		exit 2
+	fi
+done
 exec target/review3 halfstored review/11
